Add the build, the checks, module base and the peer message schema

Cause: modules are written side by side and need one build, one set of checks and one definition of the message types. Change: CMake with one target per module, clang-format and clang-tidy settings, scripts/test, base (digests, errors, logs, strict JSON reading), FlatBuffers schema with committed generated code, configuration values.

--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+namespace rwf {
+
+enum class LogLevel { kInfo, kWarning, kError };
+
+// Writes one line to standard error: wall time, level, event name, then
+// `key=value` fields. Lines are for changes of state; everything that happens
+// often has a counter instead.
+void WriteLogLine(LogLevel level, std::string_view event,
+                  std::string_view fields);
+
+// Log(LogLevel::kInfo, "config_applied", "generation={} digest={}", n, hex);
+template <typename... Args>
+void Log(LogLevel level, std::string_view event,
+         fmt::format_string<Args...> fields, Args&&... args) {
+  WriteLogLine(level, event, fmt::format(fields, std::forward<Args>(args)...));
+}
+
+inline void Log(LogLevel level, std::string_view event) {
+  WriteLogLine(level, event, "");
+}
+
+}  // namespace rwf
