Add frames, the handshake and the links between entry VMs

Cause: entry VMs exchange heartbeats, loans, claims and configuration. Change: length-framed FlatBuffers with a MAC over a sequence number, a handshake that proves the fleet secret for both sides, links with one connection for each peer and jittered dial backoff, probes that tell a refusal by the kernel from silence. Measured: wire_test passes, 5 cases with 20,000 damaged messages: each is refused without a crash.

--- /dev/null
+++ b/src/net/connect_attempt.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "net/event_loop.h"
+
+namespace rwf {
+
+// One attempt to open a TCP connection. Ends with a socket or with the error of
+// the kernel, in particular kConnectRefused, which proves that no process
+// listens there. Destroying the attempt gives it up.
+class ConnectAttempt {
+ public:
+  // Called once, from the loop. The callee owns `fd`, which is -1 on failure,
+  // and may destroy the attempt.
+  using Callback = std::function<void(std::error_code ec, int fd)>;
+
+  ConnectAttempt(EventLoop* loop, const std::string& address, uint16_t port,
+                 Duration timeout, Callback callback);
+  ConnectAttempt(const ConnectAttempt&) = delete;
+  ConnectAttempt& operator=(const ConnectAttempt&) = delete;
+  ~ConnectAttempt();
+
+  TimePoint begun_at() const { return begun_at_; }
+
+ private:
+  static void HandleWritable(evutil_socket_t, short what, void* self);
+  void Finish(std::error_code ec);
+
+  TimePoint begun_at_;
+  int fd_ = -1;
+  Callback callback_;
+  EventPtr event_;
+  std::unique_ptr<Timer> failure_;
+};
+
+}  // namespace rwf
