--- a/src/base/json_reader.cc
+++ b/src/base/json_reader.cc
@@ -25,7 +25,8 @@
 // A value as it is shown in a message, cut to a readable length.
 std::string Excerpt(const Json& value) {
   static constexpr size_t kLongest = 60;
-  std::string text = value.dump();
+  // ASCII only, so that the cut never leaves half a UTF-8 character.
+  std::string text = value.dump(-1, ' ', /*ensure_ascii=*/true);
   if (text.size() > kLongest) text = text.substr(0, kLongest) + "...";
   return text;
 }
@@ -46,6 +47,9 @@
     const auto line = std::count(text.begin(), end, '\n') + 1;
     return Fail(JsonErrc::kSyntax,
                 fmt::format("{}:{}: {}", source, line, e.what()));
+  } catch (const Json::exception& e) {
+    // A number beyond the range of a double is no parse_error.
+    return Fail(JsonErrc::kSyntax, fmt::format("{}: {}", source, e.what()));
   }
 }
 
@@ -159,12 +163,8 @@
 
 std::vector<JsonReader> JsonReader::Objects(const char* name, bool required) {
   std::vector<JsonReader> out;
-  const Json* it = required ? Require(name) : Find(name);
+  const Json* it = Array(name, required);
   if (it == nullptr) return out;
-  if (!it->is_array()) {
-    AddProblem(name, fmt::format("found {}, expected an array", Excerpt(*it)));
-    return out;
-  }
   for (size_t i = 0; i < it->size(); ++i) {
     out.emplace_back((*it)[i], fmt::format("{}/{}/{}", pointer_, name, i),
                      problems_);
@@ -172,6 +172,13 @@
   return out;
 }
 
+const Json* JsonReader::Array(const char* name, bool required) {
+  const Json* it = required ? Require(name) : Find(name);
+  if (it == nullptr || it->is_array()) return it;
+  AddProblem(name, fmt::format("found {}, expected an array", Excerpt(*it)));
+  return nullptr;
+}
+
 std::vector<std::string> JsonReader::Strings(const char* name) {
   std::vector<std::string> out;
   const Json* it = Find(name);
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -57,6 +57,9 @@
   // `required`.
   std::vector<JsonReader> Objects(const char* name, bool required = false);
   std::vector<std::string> Strings(const char* name);
+  // An array member as it stands, for long arrays that are read without one
+  // reader for each element; nullptr when it is missing or no array.
+  const Json* Array(const char* name, bool required = false);
   // An object member; a missing one reads as an empty object.
   JsonReader Object(const char* name);
 
