--- /dev/null
+++ b/src/once/claim_ledger.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "base/digest.h"
+#include "base/time.h"
+#include "wire/messages_generated.h"
+
+namespace rwf {
+
+// A process of an entry VM.
+struct VmProcess {
+  std::string vm;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const VmProcess&, const VmProcess&) = default;
+};
+
+// The home side of at-most-once execution: the only place that permits a run
+// for the keys minted by this process. One claim permits at most one run at a
+// time and none after one that completed or may have run.
+class ClaimLedger {
+ public:
+  static constexpr size_t kMaxOutcomeBytes = 16 * 1024;
+  static constexpr size_t kMaxStoredBytes = 16 * 1024 * 1024;
+  static constexpr size_t kMaxClaims = 200'000;
+  // A permitted run without a result for this long counts as unknown; longer
+  // than any request may take.
+  static constexpr Duration kRunLimit = std::chrono::seconds(120);
+
+  // `incarnation` is the one that this process mints keys with; it stays the
+  // same as long as the process runs and no other process of the VM ever has
+  // it. `max_claims` bounds memory.
+  explicit ClaimLedger(uint64_t incarnation, size_t max_claims = kMaxClaims);
+
+  // Decides about a claim that `asker` wants to run. A repeated request (same
+  // asker and request_id) gets the same permission again.
+  wire::ClaimReplyT OnClaim(const VmProcess& asker,
+                            const wire::ClaimRequestT& request, TimePoint now,
+                            WallTime wall);
+  // Takes the end of a permitted run. Results of other attempts than the
+  // permitted one are ignored; so are all but the first.
+  void OnResult(const wire::ClaimResultT& result, TimePoint now);
+  // The process is gone: what it was permitted to run may have run. Older
+  // incarnations of the VM are taken for gone as well.
+  void OnPeerDead(const VmProcess& process, TimePoint now);
+  // Forgets expired claims. To be called about once a second.
+  void OnTick(TimePoint now, WallTime wall);
+
+  // Mint time for prefixes handed out now: never earlier than a time whose
+  // claims were forgotten, even if the wall clock was set back.
+  uint64_t MintTime(WallTime wall);
+  uint64_t incarnation() const { return incarnation_; }
+
+  size_t size() const { return claims_.size(); }
+  size_t stored_bytes() const { return stored_bytes_; }
+  uint64_t dropped_outcomes() const { return dropped_outcomes_; }
+
+ private:
+  enum class State : uint8_t { kReleased, kRunning, kCompleted, kUnknown };
+  struct Claim {
+    Digest body;
+    State state = State::kReleased;
+    uint64_t attempt = 0;
+    uint64_t minted_unix_s = 0;
+    VmProcess runner;
+    uint64_t request_id = 0;
+    TimePoint granted_at{};
+    wire::StoredOutcomeT outcome;
+    std::list<Digest>::iterator stored{};  // in outcomes_, if has_outcome
+    bool has_outcome = false;
+  };
+
+  void Advance(WallTime wall);
+  void RaiseHorizon(uint64_t minted_unix_s);
+  void Store(const Digest& id, Claim* claim, const wire::StoredOutcomeT& out);
+  void DropOutcome(Claim* claim);
+
+  const uint64_t incarnation_;
+  const size_t max_claims_;
+  std::unordered_map<Digest, Claim> claims_;
+  std::multimap<uint64_t, Digest> by_mint_;
+  std::list<Digest> outcomes_;  // oldest first
+  uint64_t last_attempt_ = 0;
+  uint64_t latest_unix_s_ = 0;  // largest wall time seen
+  // Claims minted at or before this time may have been forgotten: refused.
+  uint64_t horizon_unix_s_ = 0;
+  size_t stored_bytes_ = 0;
+  uint64_t dropped_outcomes_ = 0;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/steering/entry_selector.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "steering/client_table.h"
+#include "steering/topology.h"
+
+namespace rwf {
+
+// One entry VM of a look-up answer.
+struct EntryChoice {
+  size_t vm = 0;  // index into Config::entry_vms
+  Tier tier = Tier::kOwnZone;
+  // Share of the clients in this tier that the VM should get, relative to the
+  // other VMs of the tier.
+  int64_t weight = 1;
+
+  friend bool operator==(const EntryChoice&, const EntryChoice&) = default;
+};
+
+// Chooses the entry VMs of look-up answers for one generation. Immutable: the
+// same generation, liveness and client give the same answer on every VM.
+class EntrySelector {
+ public:
+  // Longest answer. A caller that fails with all of these asks again.
+  static constexpr size_t kMaxAnswer = 8;
+  // Places of an answer kept for VMs outside the client's zone, so that a lost
+  // zone leaves callers an address to go to.
+  static constexpr size_t kOtherZonePlaces = 4;
+
+  // What is known of an entry VM. Retired and drained VMs are left out by the
+  // configuration itself.
+  using IsUsable = std::function<bool(size_t vm)>;
+
+  explicit EntrySelector(std::shared_ptr<const Config> config);
+
+  // The entry VMs for a client, best first: the client's zone (after moves),
+  // zones of its region, others by latency; within a zone rendezvous order
+  // weighted by EntryVm::weight. Callers use them in order. Empty only if no VM
+  // is usable.
+  std::vector<EntryChoice> Select(uint32_t client, const std::string& service,
+                                  const IsUsable& is_usable) const;
+
+  // Zone that a client is steered to, after moves; Topology::kNone if there are
+  // no zones.
+  size_t ZoneOf(uint32_t client, const std::string& service) const;
+
+  const ClientTable& table() const { return table_; }
+  const Topology& topology() const { return topology_; }
+
+ private:
+  void Append(size_t zone, Tier tier, uint64_t client_hash, size_t limit,
+              const IsUsable& is_usable, std::vector<EntryChoice>* out) const;
+
+  std::shared_ptr<const Config> config_;
+  Topology topology_;
+  ClientTable table_;
+  std::vector<std::vector<size_t>> vms_by_zone_;  // without retired and drained
+  std::vector<uint64_t> vm_hashes_;
+  std::vector<size_t> move_targets_;  // zone index by move
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/steering/topology.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+
+namespace rwf {
+
+// How near a place is to another.
+enum class Tier : uint8_t { kOwnZone, kOwnRegion, kOtherRegion };
+const char* TierName(Tier tier);
+
+// Zones and regions of a configuration by index, with the order in which other
+// zones are tried. Immutable.
+class Topology {
+ public:
+  static constexpr size_t kNone = SIZE_MAX;
+
+  Topology() = default;
+  explicit Topology(const Config& config);
+
+  size_t zone_count() const { return zone_names_.size(); }
+  size_t region_count() const { return region_names_.size(); }
+  const std::string& zone_name(size_t zone) const { return zone_names_[zone]; }
+  const std::string& region_name(size_t region) const {
+    return region_names_[region];
+  }
+  // Index by name, kNone when there is none.
+  size_t FindZone(const std::string& name) const;
+  size_t region_of(size_t zone) const { return zone_regions_[zone]; }
+  Tier TierOf(size_t from_zone, size_t to_zone) const;
+  // Latency of the link between the regions of two zones; zero within a region,
+  // one hour where no link is configured.
+  Duration OneWay(size_t from_zone, size_t to_zone) const;
+  // All zones: `zone` itself, those of its region, then others by latency; ties
+  // in the order of the configuration.
+  const std::vector<size_t>& Nearest(size_t zone) const {
+    return nearest_[zone];
+  }
+
+ private:
+  std::vector<std::string> zone_names_;
+  std::vector<std::string> region_names_;
+  std::vector<size_t> zone_regions_;
+  std::vector<std::vector<Duration>> one_way_;  // by region, by region
+  std::vector<std::vector<size_t>> nearest_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/steering/upstream_selector.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "steering/topology.h"
+
+namespace rwf {
+
+// Owner of the slots of a service's instances (ShareLedger).
+class SlotSource {
+ public:
+  virtual ~SlotSource() = default;
+  // Takes one slot of the instance. False if none is free; nothing is taken
+  // then.
+  virtual bool TryAcquire(size_t instance, TimePoint now) = 0;
+};
+
+// Owner of the budgets of the links between regions (ShareLedger).
+class LinkBudget {
+ public:
+  virtual ~LinkBudget() = default;
+  // True if the link to `region` (index of Topology) has room for another
+  // request.
+  virtual bool HasRoom(size_t region, TimePoint now) = 0;
+};
+
+// What an instance said about its load.
+struct LoadReport {
+  double in_flight = 0;  // requests of all VMs
+  double capacity = 0;   // slots that it says it has now
+  TimePoint at{};        // when it was read
+};
+
+enum class CandidateState : uint8_t {
+  kReady,
+  kWarmingUp,  // limited by slow start
+  kFailing,    // failing, not ejected because of the cap: last of its tier
+  kShedding,   // refused work a moment ago: last of its tier
+  kEjected,
+  kDraining,
+  kNoLinkRoom,
+};
+const char* CandidateStateName(CandidateState state);
+
+// One line of an explanation for operators.
+struct Candidate {
+  size_t instance = 0;
+  std::string id;
+  Tier tier = Tier::kOwnZone;
+  CandidateState state = CandidateState::kReady;
+  bool report_is_fresh = false;
+  int64_t in_flight = 0;   // from this VM
+  double score = 0;        // smaller is better
+  Duration latency{};      // smoothed, including the network
+  Duration retry_after{};  // until an ejection or shed pause ends
+};
+
+// Chooses the instance of one service that runs a request, and judges instances
+// by what this VM sees of them. Every Select that returns an instance is
+// followed by exactly one of OnSuccess, OnShed, OnFailure or OnCancelled.
+class UpstreamSelector {
+ public:
+  static constexpr int kFailuresToEject = 3;
+  static constexpr Duration kMinEjection = std::chrono::seconds(1);
+  static constexpr Duration kMaxEjection = std::chrono::seconds(30);
+  // Largest part of a service's instances in one zone that is ejected at a
+  // time. More failures than that rather point at the measurement, the request
+  // or a shared cause.
+  static constexpr double kMaxEjectedShare = 0.3;
+  static constexpr Duration kSlowStart = std::chrono::seconds(10);
+  static constexpr double kSlowStartFloor = 0.1;
+  static constexpr Duration kReportLimit = std::chrono::seconds(3);
+  // Part of the configured capacity assumed without a fresh report.
+  static constexpr double kAssumedCapacity = 0.8;
+  // Pause after a shed; doubles up to kMaxShedPause while sheds follow.
+  static constexpr Duration kMinShedPause = std::chrono::milliseconds(100);
+  static constexpr Duration kMaxShedPause = std::chrono::seconds(2);
+
+  struct Selection {
+    size_t instance = 0;
+    Tier tier = Tier::kOwnZone;
+  };
+
+  // `service` is an index into config.services. Instances known at construction
+  // start warm.
+  UpstreamSelector(const Config& config, size_t service,
+                   const std::string& own_zone);
+
+  // Takes over a newer configuration of the same service. Evidence about
+  // instances that stay is kept (by id); new instances start cold. Instance
+  // indices are those of the new configuration from now on, and `new_index`
+  // gives the new index of each old one, or SIZE_MAX if it is gone.
+  std::vector<size_t> Reconfigure(const Config& config, size_t service,
+                                  TimePoint now);
+
+  // Picks an instance and takes a slot of it; none if no candidate has a free
+  // slot. `avoid` is an instance that an earlier attempt of the request used.
+  std::optional<Selection> Select(SlotSource& slots, LinkBudget& links,
+                                  std::optional<size_t> avoid, pcg32& rng,
+                                  TimePoint now);
+
+  // The response came after `latency`.
+  void OnSuccess(size_t instance, Duration latency, TimePoint now);
+  // The instance refused as not run. Not a failure.
+  void OnShed(size_t instance, TimePoint now);
+  // Connection refused or broken, malformed response, time-out.
+  void OnFailure(size_t instance, TimePoint now);
+  // The request ended for reasons that say nothing about the instance.
+  void OnCancelled(size_t instance);
+  // Load report of an instance. Never overrides what this VM sees itself.
+  void OnReport(size_t instance, const LoadReport& report);
+  // The instance restarted or its caches are cold: slow start begins.
+  void OnColdStart(size_t instance, TimePoint now);
+  // The same for all instances in a zone that a move brought new clients to.
+  void OnZoneCold(const std::string& zone, TimePoint now);
+
+  // All instances, those that would be preferred first, with reasons.
+  std::vector<Candidate> Explain(LinkBudget& links, TimePoint now) const;
+
+  size_t size() const { return instances_.size(); }
+  int64_t in_flight(size_t instance) const;
+  bool IsEjected(size_t instance, TimePoint now) const;
+
+ private:
+  struct Instance {
+    std::string id;
+    size_t zone = 0;
+    int64_t slots = 0;
+    bool draining = false;
+    bool slow = false;  // within slow start
+    int64_t in_flight = 0;
+    int failures = 0;  // consecutive
+    TimePoint slow_start{};
+    TimePoint ejected_until{};  // zero: not ejected
+    Duration ejection{};        // length of the last one
+    TimePoint shed_until{};
+    Duration shed_pause{};
+    Duration latency{};  // smoothed, zero while unknown
+    LoadReport report;
+    int64_t in_flight_at_report = 0;
+    bool has_report = false;
+  };
+  // The instances of one zone.
+  struct Group {
+    size_t zone = 0;
+    size_t region = 0;
+    Tier tier = Tier::kOwnZone;
+    std::vector<size_t> instances;  // without draining ones
+    int64_t ejected = 0;
+  };
+
+  void Build(const Config& config, size_t service);
+  CandidateState StateOf(const Instance& instance, TimePoint now) const;
+  double SlowStartFactor(const Instance& instance, TimePoint now) const;
+  double Score(const Instance& instance, TimePoint now) const;
+  bool IsBetter(size_t a, size_t b, TimePoint now) const;
+  size_t PickIn(const Group& group, SlotSource& slots,
+                std::optional<size_t> avoid, bool last_resort, pcg32& rng,
+                TimePoint now);
+  void Release(Instance* instance);
+  void Expire(Instance* instance, TimePoint now);
+
+  std::string own_zone_;
+  std::string service_;
+  Topology topology_;
+  std::vector<Instance> instances_;
+  std::vector<Group> groups_;  // nearest first
+};
+
+}  // namespace rwf
