Add the interfaces of membership and replica

Cause: the daemon needs the classes of both modules to code against. Measured: the headers compile; no behaviour yet.

--- /dev/null
+++ b/src/membership/link_plan.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rwf {
+
+// Which VMs a VM opens links to: at most kInZone of its zone and kElsewhere of
+// other zones, those with the highest rendezvous score of the pair, plus the
+// next VM in the order given (the share ring). The ring keeps the graph of all
+// links connected. Links work both ways, so a VM has about as many again from
+// VMs that chose it.
+class LinkPlan {
+ public:
+  static constexpr size_t kInZone = 8;
+  static constexpr size_t kElsewhere = 4;
+
+  // Ids and zones in the order of the ring.
+  explicit LinkPlan(std::vector<std::pair<std::string, std::string>> vms);
+
+  // Sorted. Empty if `vm` is not in the list.
+  std::vector<std::string> PeersOf(const std::string& vm) const;
+  // True if one of the two opens a link to the other.
+  bool AreLinked(const std::string& a, const std::string& b) const;
+
+ private:
+  std::vector<std::pair<std::string, std::string>> vms_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/membership/roster.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "wire/messages_generated.h"
+
+namespace rwf {
+
+// What is known of one VM.
+struct Member {
+  std::string vm;
+  std::string zone;
+  wire::PeerState state = wire::PeerState::kAlive;
+  uint64_t incarnation = 0;  // 0: never heard of
+  uint64_t generation = 0;   // of the configuration it has in force
+  bool leaving = false;
+  TimePoint last_news{};  // last change, or last message received from it
+
+  // Heard of, neither dead nor left.
+  bool IsLive() const {
+    return incarnation != 0 && state <= wire::PeerState::kSuspect;
+  }
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+// An incarnation is the start time of the process in milliseconds, followed by
+// the number of refutations. The start time distinguishes processes.
+constexpr int kRefutationBits = 16;
+constexpr uint64_t MakeIncarnation(WallTime start) {
+  return static_cast<uint64_t>(start.time_since_epoch().count())
+         << kRefutationBits;
+}
+constexpr uint64_t ProcessOf(uint64_t incarnation) {
+  return incarnation >> kRefutationBits;
+}
+
+// The members that the configuration lists and what is known of each, plus the
+// queue of updates that are passed on in heartbeats.
+class Roster {
+ public:
+  // Updates in one heartbeat, by its size; the rest waits for the next one.
+  static constexpr size_t kMaxUpdates = 32;
+  // Records outside the queue that each heartbeat brings in turn, so that VMs
+  // which missed all repeats of an update still get it.
+  static constexpr size_t kRotating = 1;
+  // Repeats of an update that only brings a new generation. Flooding these like
+  // changes of state would cost 1.3 MB per VM and change with 680 VMs.
+  static constexpr int kGenerationRepeats = 3;
+
+  // Keeps what is known of VMs that stay.
+  void SetMembers(
+      const std::vector<std::pair<std::string, std::string>>& vm_and_zone,
+      TimePoint now);
+
+  const std::vector<Member>& members() const { return members_; }
+  // nullptr: not in the configuration.
+  const Member* Find(const std::string& vm) const;
+
+  // Live VMs of a zone, in order of id. With `self` listed whatever its state.
+  std::vector<std::string> LiveInZone(const std::string& zone,
+                                      const std::string& self) const;
+  // True once every member but those dead or left has `generation` or a larger
+  // one in force.
+  bool AllHave(uint64_t generation) const;
+
+  // Changes the record and queues it to be passed on; the caller has decided
+  // that the update is newer.
+  void Apply(const Member& member, TimePoint now);
+  void NoteNews(const std::string& vm, TimePoint now);
+  void NoteGeneration(const std::string& vm, uint64_t generation,
+                      TimePoint now);
+
+  // The updates of the next heartbeat.
+  std::vector<std::unique_ptr<wire::PeerUpdateT>> TakeUpdates();
+  // Updates in the queue.
+  size_t queued() const { return queue_.size(); }
+
+ private:
+  struct Queued {
+    size_t index;
+    int left;
+  };
+
+  Member* FindMutable(const std::string& vm);
+  int Repeats() const;
+  void Enqueue(size_t index, int repeats);
+
+  std::vector<Member> members_;
+  std::unordered_map<std::string, size_t> index_;
+  std::vector<Queued> queue_;
+  size_t next_rotating_ = 0;
+};
+
+// The record as an update.
+wire::PeerUpdateT ToUpdate(const Member& member);
+
+}  // namespace rwf
--- /dev/null
+++ b/src/replica/config_writer.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "replica/audit_chain.h"
+#include "replica/call_budget.h"
+#include "replica/config_replica.h"
+#include "replica/store.h"
+
+namespace rwf {
+
+// What an operator asks for.
+struct ChangeRequest {
+  std::string operation_id;  // unique; also how to find the outcome later
+  std::string who;
+  std::string action;
+  WallTime when{};
+  uint64_t from_generation = 0;  // the change was made on this one
+  SectionTexts sections;         // all sections of the new configuration
+};
+
+enum class ChangeOutcome { kAccepted, kRejected, kUnknown };
+
+struct ChangeResult {
+  ChangeOutcome outcome = ChangeOutcome::kUnknown;
+  uint64_t generation = 0;  // accepted: the new one; rejected: that in force
+  Digest digest;            // of `generation`
+  // The outcome is certain, but its audit record is not in the store yet. A VM
+  // that watches the store completes that of an accepted change.
+  bool audit_pending = false;
+  std::string message;  // for the operator; of kUnknown: how to find out
+
+  friend bool operator==(const ChangeResult&, const ChangeResult&) = default;
+};
+
+// Writes one change: completes the audit record before, writes the new
+// sections, swaps the manifest (the commit point), then writes the audit
+// record. A lost answer is resolved by reading; a swap is only repeated with
+// the same expected version, so that it can take effect once at most.
+class ConfigWriter {
+ public:
+  // After this time the result is what is known by then.
+  static constexpr Duration kLimit = std::chrono::seconds(10);
+
+  // `done` is called once, from Tick or from an answer of the store. All
+  // pointers outlive this object.
+  ConfigWriter(Store* store, CallBudget* budget, Random* random,
+               ParseSections parse, ChangeRequest request,
+               std::function<void(const ChangeResult&)> done);
+
+  void Start(TimePoint now);
+  // Called every 50 ms or so until the result is there.
+  void Tick(TimePoint now);
+
+  bool finished() const { return phase_ == Phase::kFinished; }
+
+ private:
+  enum class Phase {
+    kReadManifest,
+    kReadPreviousAudit,
+    kWritePreviousAudit,
+    kWriteSections,
+    kSwap,
+    kResolve,       // the answer to the swap was lost: read the manifest
+    kResolveAudit,  // the manifest has moved on: read the record of ours
+    kWriteAudit,
+    kWriteRejection,
+    kFinished
+  };
+
+  void Step(TimePoint now);
+  void Finish(ChangeResult result);
+  void Reject(std::string reason, TimePoint now);
+  void Retry(TimePoint now);
+  void Advance(Phase phase, TimePoint now);
+  template <typename T, typename Next>
+  Store::Callback<T> Guard(Next next);
+  void WriteRecord(const std::string& key, const std::string& text,
+                   Phase next_phase);
+  void OnManifest(const StoreValue& value, TimePoint now);
+  void OnResolved(const StoreValue& value, TimePoint now);
+  std::string HowToFindOut() const;
+
+  Store* store_;
+  CallBudget* budget_;
+  Random* random_;
+  ParseSections parse_;
+  ChangeRequest request_;
+  std::function<void(const ChangeResult&)> done_;
+
+  Phase phase_ = Phase::kReadManifest;
+  Backoff backoff_;
+  bool waiting_ = false;  // for an answer
+  bool maybe_committed_ = false;
+  TimePoint not_before_{};
+  TimePoint deadline_{};
+  uint64_t manifest_version_ = 0;
+  Manifest before_;  // generation 0: none
+  Manifest manifest_;
+  std::vector<std::string> unwritten_;  // section names
+  ChangeResult result_;
+  AuditRecord rejection_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace rwf
