Add membership: link plan, roster and failure detector

Cause: every VM has to know within seconds which VMs are alive, at a cost that does not grow with the fleet. Change: neighbour graph by rendezvous hashing of pairs plus the ring, heartbeats with direct and indirect probes, suspicion that the VM itself can refute, gossip of at most 32 updates a heartbeat with bounded repeats and one rotating record.

--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -102,14 +102,18 @@
   std::vector<MemberMessage> OnHeartbeat(const std::string& peer,
                                          const wire::HeartbeatT& heartbeat,
                                          TimePoint now);
-  void OnAck(const std::string& peer, const wire::HeartbeatAckT& ack,
-             TimePoint now);
+  std::vector<MemberMessage> OnAck(const std::string& peer,
+                                   const wire::HeartbeatAckT& ack,
+                                   TimePoint now);
   std::vector<MemberMessage> OnProbe(const std::string& peer,
                                      const wire::ProbeT& probe, TimePoint now);
   void OnProbeReply(const std::string& peer, const wire::ProbeReplyT& reply,
                     TimePoint now);
-  // A link is authenticated; the handshake named the peer's incarnation.
-  void OnLinkUp(const std::string& peer, uint64_t incarnation, TimePoint now);
+  // A link is authenticated; the handshake named the peer's incarnation. The
+  // messages are for this link. An older process than the one known is only
+  // told so; its link is to be closed afterwards.
+  std::vector<MemberMessage> OnLinkUp(const std::string& peer,
+                                      uint64_t incarnation, TimePoint now);
   // A link broke or could not be opened. `refused`: the peer's kernel refused a
   // new connection, which proves that no process listens there.
   void OnLinkDown(const std::string& peer, bool refused, TimePoint now);
@@ -131,8 +135,10 @@
 
  private:
   struct Link {
+    bool up = false;
     uint64_t process = 0;
     uint64_t sequence = 0;
+    std::vector<wire::PeerUpdateT> tell;  // for the next heartbeat
     TimePoint last_heard{};
     TimePoint next_send{};
     TimePoint last_send{};
@@ -154,6 +160,10 @@
   void Suspect(const std::string& vm, TimePoint now);
   bool HasFreshNews(const std::string& vm, TimePoint now) const;
   void Refute(uint64_t at_least, TimePoint now);
+  void Tell(const std::string& peer, const wire::PeerUpdateT& update,
+            TimePoint now);
+  void MakeDue(TimePoint now);
+  void Flush(TimePoint now, std::vector<MemberMessage>* out);
   MemberMessage BuildHeartbeat(const std::string& peer, Link& link,
                                TimePoint now);
   void TickLink(const std::string& peer, Link& link, TimePoint now,
@@ -178,7 +188,6 @@
   std::vector<MemberEvent> events_;
   std::optional<TimePoint> last_tick_;
   TimePoint grace_until_{};
-  TimePoint urgent_since_{};
   uint64_t nonce_ = 0;
   bool leaving_ = false;
   bool left_ = false;
--- a/src/membership/link_plan.h
+++ b/src/membership/link_plan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,13 +11,14 @@
 // Which VMs a VM opens links to: at most kInZone of its zone and kElsewhere of
 // other zones, those with the highest rendezvous score of the pair, plus the
 // next VM in the order given (the share ring). The ring keeps the graph of all
-// links connected. Links work both ways, so a VM has about as many again from
-// VMs that chose it.
+// links connected. Up to kInZone + kElsewhere other VMs are all linked. Links
+// work both ways, so a VM has about as many again from VMs that chose it.
 class LinkPlan {
  public:
   static constexpr size_t kInZone = 8;
   static constexpr size_t kElsewhere = 4;
 
+  LinkPlan() = default;
   // Ids and zones in the order of the ring.
   explicit LinkPlan(std::vector<std::pair<std::string, std::string>> vms);
 
@@ -26,6 +29,7 @@
 
  private:
   std::vector<std::pair<std::string, std::string>> vms_;
+  std::vector<uint64_t> hashes_;
 };
 
 }  // namespace rwf
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
+#include "config/config.h"
 #include "wire/messages_generated.h"
 
 namespace rwf {
@@ -18,6 +20,9 @@
   uint64_t incarnation = 0;  // 0: never heard of
   uint64_t generation = 0;   // of the configuration it has in force
   bool leaving = false;
+  // No longer in the configuration, but not known to have the generation that
+  // removed it.
+  bool removed = false;
   TimePoint last_news{};  // last change, or last message received from it
 
   // Heard of, neither dead nor left.
@@ -52,10 +57,10 @@
   // changes of state would cost 1.3 MB per VM and change with 680 VMs.
   static constexpr int kGenerationRepeats = 3;
 
-  // Keeps what is known of VMs that stay.
-  void SetMembers(
-      const std::vector<std::pair<std::string, std::string>>& vm_and_zone,
-      TimePoint now);
+  // Members are the entry VMs that are not retired. A VM that is no longer
+  // listed stays, as removed, until it has `config.generation` in force or is
+  // listed as retired: until then it may use the share it had.
+  void SetMembers(const Config& config, TimePoint now);
 
   const std::vector<Member>& members() const { return members_; }
   // nullptr: not in the configuration.
@@ -64,14 +69,15 @@
   // Live VMs of a zone, in order of id. With `self` listed whatever its state.
   std::vector<std::string> LiveInZone(const std::string& zone,
                                       const std::string& self) const;
-  // True once every member but those dead or left has `generation` or a larger
-  // one in force.
+  // True once every member has `generation` or a larger one in force, dead ones
+  // and those removed included: a dead VM may be partitioned and serving.
   bool AllHave(uint64_t generation) const;
 
   // Changes the record and queues it to be passed on; the caller has decided
   // that the update is newer.
   void Apply(const Member& member, TimePoint now);
-  void NoteNews(const std::string& vm, TimePoint now);
+  // The same without passing it on.
+  void Restore(const Member& member);
   void NoteGeneration(const std::string& vm, uint64_t generation,
                       TimePoint now);
 
@@ -81,18 +87,15 @@
   size_t queued() const { return queue_.size(); }
 
  private:
-  struct Queued {
-    size_t index;
-    int left;
-  };
-
   Member* FindMutable(const std::string& vm);
   int Repeats() const;
+  void Reindex();
   void Enqueue(size_t index, int repeats);
 
   std::vector<Member> members_;
   std::unordered_map<std::string, size_t> index_;
-  std::vector<Queued> queue_;
+  std::vector<size_t> queue_;  // members with repeats left
+  std::vector<int> left_;      // repeats left, by member
   size_t next_rotating_ = 0;
 };
 
--- /dev/null
+++ b/tests/membership/failure_detector_test.cc
@@ -0,0 +1,218 @@
+#include "membership/failure_detector.h"
+
+#include <doctest/doctest.h>
+
+#include "membership/member_network.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWarmUp = seconds(5);
+
+// Guards against a crash that goes unnoticed or is noticed too late for the
+// inheritance of shares.
+TEST_CASE("FailureDetector, crash, is detected by all within 3 s") {
+  struct Row {
+    const char* name;
+    size_t vms;
+    size_t zones;
+    bool power_loss;
+    double loss;
+    Duration gossip;  // beyond the 3 s of the linked peers
+  };
+  const Row rows[] = {
+      {"process ends", 7, 6, false, 0, {}},
+      {"power loss", 7, 6, true, 0, {}},
+      {"power loss, 28 VMs", 28, 6, true, 0, milliseconds(500)},
+      {"power loss, 112 VMs", 112, 10, true, 0, milliseconds(500)},
+      {"process ends, 20% loss", 28, 6, false, 0.2, milliseconds(500)},
+  };
+  for (const Row& row : rows) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+      CAPTURE(row.name);
+      CAPTURE(seed);
+      MemberNetwork net(row.vms, row.zones, seed);
+      net.Run(kWarmUp + milliseconds(100 * seed));
+      net.loss = row.loss;
+      const TimePoint at = net.now;
+      net.Crash(3, row.power_loss);
+      net.Run(seconds(6));
+      const TimePoint seen = net.LastToSee(MemberEventKind::kDead, "vm3");
+      REQUIRE(seen != TimePoint{});
+      CHECK(ToMillis(seen - at) <= ToMillis(seconds(3) + row.gossip));
+      CHECK(net.Count(MemberEventKind::kDead) == row.vms - 1);
+    }
+  }
+}
+
+// Guards against healthy VMs that drop out of the answers on a lossy network.
+TEST_CASE("FailureDetector, 20% message loss for 10 min, removes nobody") {
+  for (const size_t vms : {7, 28}) {
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      MESSAGE("vms " << vms << " seed " << seed);
+      MemberNetwork net(vms, 6, seed);
+      net.loss = 0.2;
+      net.Run(std::chrono::minutes(10));
+      CHECK(net.Count(MemberEventKind::kDead) == 0);
+    }
+  }
+}
+
+size_t CountOf(const MemberNetwork& net, size_t n, MemberEventKind kind) {
+  size_t count = 0;
+  for (const auto& [at, event] : net.nodes[n].events) {
+    count += event.kind == kind;
+  }
+  return count;
+}
+
+// Guards against a VM that wakes from a pause and declares everybody dead.
+TEST_CASE("FailureDetector, own pause, holds no silence against peers") {
+  MemberNetwork net(7, 6, 1);
+  net.Run(kWarmUp);
+  net.nodes[2].paused_until = net.now + seconds(20);
+  net.Run(seconds(30));
+  CHECK(CountOf(net, 2, MemberEventKind::kDead) == 0);
+  CHECK(CountOf(net, 2, MemberEventKind::kPaused) == 1);
+  CHECK(net.nodes[2].detector->counters().refutations >= 1);
+  for (const auto& node : net.nodes) {
+    CHECK(node.detector->roster().LiveInZone("zone2", "").size() == 1);
+  }
+}
+
+// Guards against one broken path between two VMs that removes one of them.
+TEST_CASE("FailureDetector, one-way partition of a pair, removes nobody") {
+  MemberNetwork net(7, 6, 1);
+  net.Run(kWarmUp);
+  net.cut = [](size_t from, size_t to) { return from == 1 && to == 4; };
+  net.Run(seconds(60));
+  CHECK(net.Count(MemberEventKind::kDead) == 0);
+}
+
+// Guards against sides that stay dead to each other after a partition, also
+// where no link joins two VMs.
+TEST_CASE("FailureDetector, zone partition heals, all are alive to all") {
+  MemberNetwork net(112, 4, 2);
+  net.Run(kWarmUp);
+  net.cut = [](size_t a, size_t b) { return (a % 4 == 0) != (b % 4 == 0); };
+  net.Run(seconds(60));
+  CHECK(net.nodes[0].detector->roster().Find("vm1")->state ==
+        wire::PeerState::kDead);
+  CHECK(net.nodes[0].detector->roster().Find("vm4")->IsLive());
+  net.cut = [](size_t, size_t) { return false; };
+  net.Run(seconds(30));
+  for (const auto& node : net.nodes) {
+    for (const Member& member : node.detector->roster().members()) {
+      CHECK(member.IsLive());
+    }
+  }
+}
+
+TEST_CASE("FailureDetector, replaced VM, is alive under its new incarnation") {
+  MemberNetwork net(7, 6, 1);
+  net.Run(kWarmUp);
+  net.Crash(3, true);
+  net.Run(seconds(1));
+  net.Start(3);
+  net.Run(seconds(5));
+  CHECK(net.LastToSee(MemberEventKind::kRestarted, "vm3") != TimePoint{});
+  for (const auto& node : net.nodes) {
+    CHECK(node.detector->roster().Find("vm3")->incarnation ==
+          net.nodes[3].detector->incarnation());
+    CHECK(node.detector->roster().Find("vm3")->IsLive());
+  }
+}
+
+TEST_CASE("FailureDetector, planned leave, is no death") {
+  MemberNetwork net(7, 6, 1);
+  net.Run(kWarmUp);
+  net.nodes[3].detector->BeginLeaving(net.now);
+  net.Run(seconds(1));
+  CHECK(net.LastToSee(MemberEventKind::kLeaving, "vm3") != TimePoint{});
+  CHECK(net.nodes[0].detector->roster().Find("vm3")->IsLive());
+  for (MemberMessage& message : net.nodes[3].detector->Leave(net.now)) {
+    for (auto& node : net.nodes) {
+      if (node.id != message.peer) continue;
+      node.detector->OnHeartbeat("vm3", *message.body.AsHeartbeat(), net.now);
+    }
+  }
+  net.Crash(3, false);
+  net.Run(seconds(5));
+  CHECK(net.LastToSee(MemberEventKind::kLeft, "vm3") != TimePoint{});
+  CHECK(net.Count(MemberEventKind::kDead) == 0);
+}
+
+struct PairOfDetectors {
+  PairOfDetectors() {
+    for (const char* id : {"a", "b"}) {
+      config.entry_vms.push_back({.id = id, .zone = "z"});
+    }
+    b.SetConfig(config, now);
+  }
+  Config config;
+  TimePoint now{seconds(10)};
+  FailureDetector b{"b", uint64_t{5} << kRefutationBits, 1};
+};
+
+// Guards against two processes of one id that both use its share.
+TEST_CASE_FIXTURE(PairOfDetectors,
+                  "FailureDetector, two processes of one id, the older one is "
+                  "superseded") {
+  FailureDetector old_a("a", uint64_t{7} << kRefutationBits, 1);
+  old_a.SetConfig(config, now);
+  b.OnLinkUp("a", uint64_t{9} << kRefutationBits, now);
+  const auto told = b.OnLinkUp("a", old_a.incarnation(), now);
+  CHECK(b.counters().duplicates == 1);
+  REQUIRE(told.size() == 1);
+  old_a.OnLinkUp("b", b.incarnation(), now);
+  old_a.OnHeartbeat("b", *told[0].body.AsHeartbeat(), now);
+  CHECK(old_a.superseded());
+  CHECK(old_a.counters().duplicates == 1);
+  CHECK(b.roster().Find("a")->incarnation == uint64_t{9} << kRefutationBits);
+}
+
+// Guards against shares that grow while a removed VM may still use its own.
+TEST_CASE_FIXTURE(PairOfDetectors,
+                  "Roster, removed VM, counts until it has the generation or "
+                  "is retired") {
+  b.OnLinkUp("a", uint64_t{7} << kRefutationBits, now);
+  Config next = config;
+  next.generation = 2;
+  next.entry_vms = {config.entry_vms[1]};
+  b.set_fill([](wire::HeartbeatT* heartbeat, TimePoint) {
+    heartbeat->generation = 2;
+  });
+  b.SetConfig(next, now);
+  now += seconds(1);
+  b.Tick(now);
+  CHECK_FALSE(b.roster().AllHave(2));
+  wire::HeartbeatT heartbeat;
+  heartbeat.generation = 2;
+  b.OnHeartbeat("a", heartbeat, now);
+  CHECK(b.roster().AllHave(2));
+  b.SetConfig(next, now);
+  CHECK(b.roster().Find("a") == nullptr);
+}
+
+// Guards against heartbeats that grow with the fleet.
+TEST_CASE("Roster, many changes at once, go out 32 a heartbeat and end") {
+  MemberNetwork net(112, 4, 1);
+  net.Run(kWarmUp);
+  for (size_t n = 0; n < 112; n += 4) net.Crash(n, true);
+  net.Run(seconds(60));
+  CHECK(net.nodes[1].detector->roster().queued() == 0);
+  CHECK(net.LastToSee(MemberEventKind::kDead, "vm0") != TimePoint{});
+  Roster roster;
+  roster.SetMembers(net.config, net.now);
+  for (const Member& member : net.nodes[1].detector->roster().members()) {
+    roster.Apply(member, net.now);
+  }
+  for (int n = 0; n < 200; ++n) CHECK(roster.TakeUpdates().size() <= 32);
+  CHECK(roster.queued() == 0);
+}
+
+}  // namespace
+}  // namespace rwf
--- /dev/null
+++ b/tests/membership/member_network.h
@@ -0,0 +1,253 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/failure_detector.h"
+
+namespace rwf {
+
+// A fleet of failure detectors on virtual time, with faults.
+class MemberNetwork {
+ public:
+  struct Node {
+    std::string id;
+    std::unique_ptr<FailureDetector> detector;
+    bool running = true;
+    bool powered = true;  // without power nothing refuses a connection
+    uint64_t generation = 1;
+    TimePoint paused_until{};
+    uint64_t bytes = 0;  // sent and received, with frame and TCP/IP headers
+    std::vector<std::pair<TimePoint, MemberEvent>> events;
+  };
+  // 4 length, 8 sequence, 16 HMAC; 40 TCP/IP.
+  static constexpr uint64_t kOverhead = 68;
+  static constexpr Duration kTick = std::chrono::milliseconds(50);
+
+  MemberNetwork(size_t n, size_t zones, uint64_t seed) : random(seed) {
+    for (size_t it = 0; it < n; ++it) {
+      EntryVm vm;
+      vm.id = "vm" + std::to_string(it);
+      vm.zone = "zone" + std::to_string(it % zones);
+      config.entry_vms.push_back(vm);
+    }
+    config.generation = 1;
+    nodes.reserve(n);  // callbacks point into it
+    for (size_t it = 0; it < n; ++it) {
+      nodes.push_back({config.entry_vms[it].id});
+      index_[nodes[it].id] = it;
+      Start(it);
+    }
+  }
+
+  void Start(size_t n) {
+    Node& node = nodes[n];
+    node.running = node.powered = true;
+    // Connections to the process before are reset by the new one's kernel.
+    std::erase_if(up_, [&](const auto& link) {
+      if (link.first != n && link.second != n) return false;
+      Node& other = nodes[link.first == n ? link.second : link.first];
+      if (other.running) other.detector->OnLinkDown(node.id, false, now);
+      return true;
+    });
+    const WallTime start{std::chrono::milliseconds(
+        1'700'000'000'000 + ToMillis(now.time_since_epoch()) + n)};
+    node.detector = std::make_unique<FailureDetector>(
+        node.id, MakeIncarnation(start), random());
+    node.detector->SetConfig(config, now);
+    Node* raw = &node;
+    node.detector->set_fill([raw](wire::HeartbeatT* heartbeat, TimePoint) {
+      heartbeat->generation = raw->generation;
+      heartbeat->ready = true;
+      heartbeat->store_contact_vm = "vm0";
+    });
+    Schedule(now + Duration(random() % kTick.count()),
+             [this, n, raw, detector = node.detector.get()] {
+               Tick(n, raw, detector);
+             });
+  }
+
+  // The process ends. Its peers' connections break at once, unless the power
+  // is lost.
+  void Crash(size_t n, bool power_loss) {
+    nodes[n].running = false;
+    nodes[n].powered = !power_loss;
+    retired_.push_back(std::move(nodes[n].detector));
+    for (auto it = up_.begin(); it != up_.end();) {
+      if (it->first != n && it->second != n) {
+        ++it;
+        continue;
+      }
+      const size_t other = it->first == n ? it->second : it->first;
+      if (!power_loss && nodes[other].running) {
+        nodes[other].detector->OnLinkDown(nodes[n].id, false, now);
+      }
+      it = power_loss ? std::next(it) : up_.erase(it);
+    }
+  }
+
+  void Run(Duration d) {
+    const TimePoint end = now + d;
+    while (!queue_.empty() && queue_.top().at <= end) {
+      Event event = std::move(const_cast<Event&>(queue_.top()));
+      queue_.pop();
+      now = event.at;
+      event.action();
+    }
+    now = end;
+  }
+
+  size_t Count(MemberEventKind kind) const {
+    size_t n = 0;
+    for (const Node& node : nodes) {
+      for (const auto& [at, event] : node.events) n += event.kind == kind;
+    }
+    return n;
+  }
+  // The latest of the first `kind` events about `vm` over all running nodes but
+  // itself; zero if one of them has none.
+  TimePoint LastToSee(MemberEventKind kind, const std::string& vm) const {
+    TimePoint last{};
+    for (const Node& node : nodes) {
+      if (node.id == vm || !node.running) continue;
+      TimePoint seen{};
+      for (const auto& [at, event] : node.events) {
+        if (event.kind != kind || event.vm != vm) continue;
+        seen = at;
+        break;
+      }
+      if (seen == TimePoint{}) return seen;
+      last = std::max(last, seen);
+    }
+    return last;
+  }
+
+  void Schedule(TimePoint at, std::function<void()> action) {
+    queue_.push({at, ++order_, std::move(action)});
+  }
+  size_t links() const { return up_.size(); }
+
+  Config config;
+  std::vector<Node> nodes;
+  TimePoint now = TimePoint{std::chrono::seconds(1000)};
+  std::mt19937_64 random;
+  double loss = 0;
+  Duration latency = std::chrono::milliseconds(1);
+  Duration jitter = std::chrono::milliseconds(20);
+  // True if messages from the first to the second are lost.
+  std::function<bool(size_t, size_t)> cut = [](size_t, size_t) {
+    return false;
+  };
+
+ private:
+  struct Event {
+    TimePoint at;
+    uint64_t order;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void Tick(size_t n, Node* node, FailureDetector* detector) {
+    if (node->detector.get() != detector) return;
+    if (node->paused_until > now) {
+      Schedule(node->paused_until, [=, this] { Tick(n, node, detector); });
+      return;
+    }
+    Send(n, detector->Tick(now));
+    Connect(n);
+    Collect(node);
+    Schedule(now + kTick, [=, this] { Tick(n, node, detector); });
+  }
+
+  void Connect(size_t n) {
+    for (const std::string& peer : nodes[n].detector->WantedLinks()) {
+      const size_t m = index_[peer];
+      const auto key = std::minmax(n, m);
+      if (up_.contains(key) && nodes[m].powered) continue;
+      TimePoint& next = next_try_[{n, m}];
+      if (now < next) continue;
+      next = now + std::chrono::seconds(1);
+      if (!nodes[m].powered || cut(n, m) || cut(m, n)) continue;
+      if (!nodes[m].running) {
+        nodes[n].detector->OnLinkDown(peer, true, now);
+        continue;
+      }
+      if (nodes[m].paused_until > now) continue;
+      up_.insert(key);
+      Send(n, nodes[n].detector->OnLinkUp(
+                  peer, nodes[m].detector->incarnation(), now));
+      Send(m, nodes[m].detector->OnLinkUp(
+                  nodes[n].id, nodes[n].detector->incarnation(), now));
+    }
+  }
+
+  void Collect(Node* node) {
+    for (MemberEvent& event : node->detector->TakeEvents()) {
+      node->events.emplace_back(now, std::move(event));
+    }
+  }
+
+  void Send(size_t from, std::vector<MemberMessage> messages) {
+    for (MemberMessage& message : messages) {
+      const size_t to = index_[message.peer];
+      auto shared = std::make_shared<wire::BodyUnion>(std::move(message.body));
+      const uint64_t bytes = SizeOf(*shared);
+      nodes[from].bytes += bytes;
+      if (!up_.contains(std::minmax(from, to)) || cut(from, to)) continue;
+      if (loss > 0 && std::uniform_real_distribution<double>()(random) < loss) {
+        continue;
+      }
+      Schedule(now + latency + Duration(random() % jitter.count()),
+               [=, this] { Deliver(from, to, shared, bytes); });
+    }
+  }
+
+  void Deliver(size_t from, size_t to,
+               const std::shared_ptr<wire::BodyUnion>& body, uint64_t bytes) {
+    Node& node = nodes[to];
+    if (!node.running) return;
+    if (node.paused_until > now) {
+      Schedule(node.paused_until + std::chrono::milliseconds(1),
+               [=, this] { Deliver(from, to, body, bytes); });
+      return;
+    }
+    node.bytes += bytes;
+    FailureDetector& it = *node.detector;
+    const std::string& peer = nodes[from].id;
+    if (const auto* x = body->AsHeartbeat()) {
+      Send(to, it.OnHeartbeat(peer, *x, now));
+    } else if (const auto* x = body->AsHeartbeatAck()) {
+      Send(to, it.OnAck(peer, *x, now));
+    } else if (const auto* x = body->AsProbe()) {
+      Send(to, it.OnProbe(peer, *x, now));
+    } else if (const auto* x = body->AsProbeReply()) {
+      it.OnProbeReply(peer, *x, now);
+    }
+    Collect(&node);
+  }
+
+  static uint64_t SizeOf(const wire::BodyUnion& body) {
+    wire::MessageT message;
+    message.body = body;
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::Message::Pack(builder, &message));
+    return builder.GetSize() + kOverhead;
+  }
+
+  std::map<std::string, size_t> index_;
+  std::set<std::pair<size_t, size_t>> up_;
+  std::map<std::pair<size_t, size_t>, TimePoint> next_try_;
+  std::priority_queue<Event> queue_;
+  std::vector<std::unique_ptr<FailureDetector>> retired_;
+  uint64_t order_ = 0;
+};
+
+}  // namespace rwf
