Add rwf-store, the double of the key-value service

Cause: the store client and the daemon need a service to be tested against. Conclusion: the interface can be coded against.

--- /dev/null
+++ b/tools/store/kv_store.cc
@@ -0,0 +1,75 @@
+#include "store/kv_store.h"
+
+#include <utility>
+
+namespace rwf {
+
+KvStore::Value KvStore::Get(const std::string& key, TimePoint at) const {
+  const auto it = values_.find(key);
+  if (it == values_.end()) return {};
+  for (auto v = it->second.rbegin(); v != it->second.rend(); ++v) {
+    if (v->since <= at) return v->value;
+  }
+  return {};
+}
+
+std::vector<KvStore::Listed> KvStore::List(const std::string& prefix,
+                                           const std::string& after,
+                                           size_t limit, TimePoint at) const {
+  std::vector<Listed> out;
+  auto it =
+      after < prefix ? values_.lower_bound(prefix) : values_.upper_bound(after);
+  for (; it != values_.end() && out.size() < limit; ++it) {
+    if (!it->first.starts_with(prefix)) break;
+    const int64_t version = Get(it->first, at).version;
+    if (version > 0) out.push_back({it->first, version});
+  }
+  return out;
+}
+
+KvStore::PutOutcome KvStore::Put(const std::string& key, int64_t expected,
+                                 std::string text, TimePoint now) {
+  const auto it = values_.find(key);
+  const int64_t present =
+      it == values_.end() ? 0 : it->second.back().value.version;
+  if (present != expected) return {false, present};
+  auto& versions = values_[key];
+  versions.push_back({now, {present + 1, std::move(text)}});
+  while (versions.size() > 1 && versions[1].since < now - kHistory)
+    versions.pop_front();
+  return {true, present + 1};
+}
+
+bool KvStore::Acquire(const std::string& name, const std::string& holder,
+                      Duration ttl, TimePoint now, Lease* lease) {
+  Lease& it = leases_[name];
+  const bool is_free = it.holder.empty() || it.ends <= now;
+  const bool may_take = is_free || it.holder == holder;
+  if (may_take) {
+    if (is_free) ++it.fence;
+    it.holder = holder;
+    it.ends = now + ttl;
+  }
+  *lease = it;
+  return may_take;
+}
+
+bool KvStore::Renew(const std::string& name, const std::string& holder,
+                    Duration ttl, TimePoint now, Lease* lease) {
+  Lease& it = leases_[name];
+  const bool holds = it.holder == holder && it.ends > now;
+  if (holds) it.ends = now + ttl;
+  *lease = it;
+  return holds;
+}
+
+bool KvStore::Release(const std::string& name, const std::string& holder,
+                      TimePoint now, Lease* lease) {
+  Lease& it = leases_[name];
+  const bool holds = it.holder == holder && it.ends > now;
+  if (holds) it.holder.clear();
+  *lease = it;
+  return holds;
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/store/kv_store.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace rwf {
+
+// The values and leases of the store double. Versions count from 1 for each
+// key; version 0 stands for a key that does not exist.
+class KvStore {
+ public:
+  // How long old versions stay readable, for stale reads.
+  static constexpr Duration kHistory = std::chrono::minutes(2);
+
+  struct Value {
+    int64_t version = 0;
+    std::string text;
+  };
+  struct Listed {
+    std::string key;
+    int64_t version = 0;
+  };
+  struct Lease {
+    std::string holder;
+    TimePoint ends{};
+    int64_t fence = 0;  // larger for each new holder
+  };
+
+  // The value as it was at `at`; version 0 if there was none.
+  Value Get(const std::string& key, TimePoint at) const;
+
+  // Keys that begin with `prefix` and sort behind `after`, as they were at
+  // `at`, at most `limit`.
+  std::vector<Listed> List(const std::string& prefix, const std::string& after,
+                           size_t limit, TimePoint at) const;
+
+  // Writes if the present version is `expected`.
+  struct PutOutcome {
+    bool is_written = false;
+    int64_t version = 0;  // after the call
+  };
+  PutOutcome Put(const std::string& key, int64_t expected, std::string text,
+                 TimePoint now);
+
+  // Each returns whether `holder` has (or had) the lease; `lease` is the state
+  // after the call.
+  bool Acquire(const std::string& name, const std::string& holder, Duration ttl,
+               TimePoint now, Lease* lease);
+  bool Renew(const std::string& name, const std::string& holder, Duration ttl,
+             TimePoint now, Lease* lease);
+  bool Release(const std::string& name, const std::string& holder,
+               TimePoint now, Lease* lease);
+
+ private:
+  struct Version {
+    TimePoint since;
+    Value value;
+  };
+
+  std::map<std::string, std::deque<Version>> values_;
+  std::map<std::string, Lease> leases_;
+};
+
+}  // namespace rwf
