Add rwf-upstream, the double of service instances

Cause: the proxy needs upstreams with slots, queues of zero, deadlines, cancellation and faults, and a record of what ran that proofs can use. Change: rwf-upstream serves many instances in one process and keeps a ledger of every request that began to run. HttpServer counts its connections. Conclusion: callers and proxies can be checked against the ledger.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -161,6 +161,10 @@
   socket_ = nullptr;
 }
 
+void HttpServer::HandleConnectionClosed(evhttp_connection* raw, void* self) {
+  static_cast<HttpServer*>(self)->connections_.erase(raw);
+}
+
 void HttpServer::HandleRequest(evhttp_request* raw, void* self) {
   auto* server = static_cast<HttpServer*>(self);
   if (server->closes_after_answers_) {
@@ -170,6 +174,11 @@
   const int fd = SocketOf(raw);
   const int on = 1;
   if (fd >= 0) setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  evhttp_connection* connection = evhttp_request_get_connection(raw);
+  if (server->connections_.insert(connection).second) {
+    evhttp_connection_set_closecb(connection,
+                                  &HttpServer::HandleConnectionClosed, server);
+  }
   ++server->open_exchanges_;
   server->handler_(std::make_shared<HttpExchange>(
       server->loop_->base(), raw, [server] { --server->open_exchanges_; }));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include "base/error.h"
 #include "net/event_loop.h"
@@ -75,7 +76,11 @@
   // Requests received and not answered yet.
   int64_t open_exchanges() const { return open_exchanges_; }
 
+  // Open connections that have brought at least one request.
+  size_t connections() const { return connections_.size(); }
+
  private:
+  static void HandleConnectionClosed(evhttp_connection* raw, void* self);
   static void HandleRequest(evhttp_request* raw, void* self);
 
   EventLoop* loop_;
@@ -84,6 +89,7 @@
   evhttp_bound_socket* socket_ = nullptr;
   bool closes_after_answers_ = false;
   int64_t open_exchanges_ = 0;
+  std::unordered_set<evhttp_connection*> connections_;
 };
 
 }  // namespace rwf
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -48,6 +48,7 @@
     CHECK(out.was_sent);
   }
   CHECK(client.connections({"127.0.0.1", port}) == 1);
+  CHECK(server.connections() == 1);
 }
 
 TEST_CASE_FIXTURE(Fixture,
--- a/tests/tools/store_server_test.cc
+++ b/tests/tools/store_server_test.cc
@@ -41,8 +41,8 @@
 // Guards the contract that the store client of the daemon is written against.
 TEST_CASE_FIXTURE(Fixture, "StoreServer, calls in order, answer as written") {
   struct Row {
-    const char* method;
-    const char* uri;
+    std::string method;
+    std::string uri;
     const char* body;
     int status;
     const char* answer;  // members that the answer must have
--- /dev/null
+++ b/tools/upstream/instance.cc
@@ -0,0 +1,279 @@
+#include "upstream/instance.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <utility>
+
+#include "base/log.h"
+#include "common/answer_body.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int64_t kMaxBodyBytes = 8 << 20;
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+
+constexpr std::array<const char*, 12> kFaultNames = {
+    "none",       "draining",          "shed",  "misleading-load",
+    "stale-load", "misleading-health", "crash", "crash-on-marker",
+    "late",       "truncate",          "extra", "slow"};
+
+int64_t HeaderInteger(const HttpRequest& request, const char* name,
+                      int64_t fallback) {
+  const std::string& text = request.headers.Get(name);
+  if (text.empty()) return fallback;
+  return std::strtoll(text.c_str(), nullptr, 10);
+}
+
+}  // namespace
+
+UpstreamInstance::UpstreamInstance(EventLoop* loop, InstanceOptions options,
+                                   RunLedger* ledger)
+    : loop_(loop),
+      options_(std::move(options)),
+      ledger_(ledger),
+      random_(options_.seed),
+      sampling_(loop->Every(kLoadSampling, [this] { SampleLoad(); })) {}
+
+UpstreamInstance::~UpstreamInstance() {
+  while (!works_.empty()) StopWork(works_.begin()->first, RunState::kCut);
+}
+
+Result<uint16_t> UpstreamInstance::Start() {
+  server_ = std::make_unique<HttpServer>(
+      loop_, HttpServerLimits{.max_body_bytes = kMaxBodyBytes},
+      [this](const Exchange& exchange) { Handle(exchange); });
+  last_request_ = TimePoint{};
+  Result<uint16_t> port = server_->Listen(options_.address, options_.port);
+  // A restart takes the same port again.
+  if (port) options_.port = *port;
+  return port;
+}
+
+bool UpstreamInstance::IsFault(const std::string& name) {
+  return std::find(kFaultNames.begin(), kFaultNames.end(), name) !=
+         kFaultNames.end();
+}
+
+void UpstreamInstance::SetFault(const std::string& name, const Fault& fault) {
+  if (name == "none") {
+    faults_.clear();
+  } else if (name == "crash") {
+    Crash(fault.restart);
+  } else {
+    faults_[name] = fault;
+  }
+}
+
+void UpstreamInstance::Handle(const Exchange& exchange) {
+  const HttpRequest& request = exchange->request();
+  if (request.path == "/health") return AnswerHealth(exchange);
+  if (request.path == "/load") return AnswerLoad(exchange);
+  ++counts_["requests"];
+  if (request.headers.Has("X-Api-Key") ||
+      request.headers.Has("Authorization")) {
+    ++counts_["leaked_keys"];
+    return exchange->Respond(JsonResponse(400, R"({"code":"leaked-key"})"));
+  }
+  if (options_.connections > 0 &&
+      server_->connections() > static_cast<size_t>(options_.connections)) {
+    return Refuse(exchange, "over_connections");
+  }
+  if (FindFault("draining") != nullptr) {
+    return Refuse(exchange, "refused_draining");
+  }
+  const Fault* shed = FindFault("shed");
+  if (shed != nullptr && Draw(shed->value)) return Refuse(exchange, "shed");
+  if (in_flight_ >= options_.slots) return Refuse(exchange, "over_slots");
+  BeginWork(exchange);
+}
+
+void UpstreamInstance::AnswerHealth(const Exchange& exchange) {
+  const Fault* lie = FindFault("misleading-health");
+  const bool is_draining = FindFault("draining") != nullptr;
+  const bool is_healthy = lie == nullptr ? !is_draining : lie->value != 0;
+  const char* status = is_healthy ? "ok" : is_draining ? "draining" : "failing";
+  exchange->Respond(
+      JsonResponse(is_healthy ? 200 : 503, Json{{"status", status},
+                                                {"instance", options_.id},
+                                                {"service", options_.service}}
+                                               .dump()));
+}
+
+void UpstreamInstance::AnswerLoad(const Exchange& exchange) {
+  const TimePoint now = EventLoop::Now();
+  LoadSample sample{now, in_flight_};
+  for (const LoadSample& it : samples_) {
+    if (it.taken <= now - options_.load_lag) sample = it;
+  }
+  const Fault* lie = FindFault("misleading-load");
+  exchange->Respond(JsonResponse(
+      200, Json{{"instance", options_.id},
+                {"in_flight", lie == nullptr ? sample.in_flight : lie->value},
+                {"slots", options_.slots},
+                {"draining", FindFault("draining") != nullptr},
+                {"age_ms", ToMillis(now - sample.taken)}}
+               .dump()));
+}
+
+void UpstreamInstance::Refuse(const Exchange& exchange, const char* counter) {
+  ++counts_[counter];
+  HttpResponse response = JsonResponse(
+      503, Json{{"code", counter}, {"instance", options_.id}}.dump());
+  response.headers.Add("X-Not-Run", "1");
+  const std::string& id = exchange->request().headers.Get("X-Request-Id");
+  if (!id.empty()) response.headers.Add("X-Request-Id", id);
+  if (std::string(counter) == "over_connections") {
+    response.headers.Add("Connection", "close");
+  }
+  exchange->Respond(response);
+}
+
+void UpstreamInstance::BeginWork(const Exchange& exchange) {
+  const HttpRequest& request = exchange->request();
+  const uint64_t id = next_work_++;
+  Work& work = works_[id];
+  work.exchange = exchange;
+  work.run = ledger_->Begin({request.headers.Get("X-Load-Id"), options_.id,
+                             request.headers.Get("X-Workspace"), request.method,
+                             request.path,
+                             EventLoop::WallNow().time_since_epoch().count()});
+  ++in_flight_;
+  const Fault* marker = FindFault("crash-on-marker");
+  if (marker != nullptr && !marker->text.empty() &&
+      request.body.find(marker->text) != std::string::npos) {
+    return Crash(marker->restart);
+  }
+  const Duration service_time = DrawServiceTime();
+  const Duration allowed =
+      milliseconds(HeaderInteger(request, "X-Request-Timeout-Ms", 600000));
+  exchange->OnCallerLeft([this, id] {
+    ++counts_["cancelled"];
+    StopWork(id, RunState::kCancelled);
+  });
+  if (allowed < service_time && FindFault("late") == nullptr) {
+    work.timer = loop_->After(allowed, [this, id] {
+      ++counts_["deadline_passed"];
+      works_.at(id).exchange->Respond(
+          JsonResponse(504, R"({"code":"deadline"})"));
+      StopWork(id, RunState::kCut);
+    });
+    return;
+  }
+  work.timer = loop_->After(service_time, [this, id] { FinishWork(id); });
+}
+
+void UpstreamInstance::FinishWork(uint64_t id) {
+  Work& work = works_.at(id);
+  ++counts_["completed"];
+  ledger_->End(work.run, RunState::kCompleted);
+  work.holds_slot = false;
+  --in_flight_;
+  const auto send = [this, id] {
+    const Exchange exchange = works_.at(id).exchange;
+    works_.erase(id);
+    SendAnswer(exchange);
+  };
+  const Fault* late = FindFault("late");
+  if (late == nullptr) return send();
+  // The connection of a caller that has left is kept, so that the late answer
+  // is written to it.
+  work.exchange->OnCallerLeft([] {});
+  work.timer = loop_->After(milliseconds(late->value), send);
+}
+
+void UpstreamInstance::SendAnswer(const Exchange& exchange) {
+  const HttpRequest& request = exchange->request();
+  const int64_t size = std::clamp<int64_t>(
+      HeaderInteger(request, "X-Load-Size", 0), 0, kMaxAnswerBytes);
+  HttpResponse response;
+  response.status = 200;
+  response.headers.Add("Content-Type", "text/plain");
+  const std::string& request_id = request.headers.Get("X-Request-Id");
+  if (!request_id.empty()) response.headers.Add("X-Request-Id", request_id);
+  response.body =
+      WriteAnswerBody({options_.id, request.headers.Get("X-Workspace"),
+                       request.headers.Get("X-Load-Id")},
+                      static_cast<size_t>(size));
+  const Fault* truncate = FindFault("truncate");
+  const Fault* extra = FindFault("extra");
+  if (truncate != nullptr && Draw(truncate->value)) {
+    ++counts_["truncated"];
+    response.headers.Add("Content-Length",
+                         std::to_string(response.body.size()));
+    response.headers.Add("Connection", "close");
+    response.body.resize(response.body.size() / 2);
+  } else if (extra != nullptr && Draw(extra->value)) {
+    ++counts_["extra"];
+    response.headers.Add("Content-Length",
+                         std::to_string(response.body.size()));
+    response.body += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+  }
+  exchange->Respond(response);
+}
+
+void UpstreamInstance::StopWork(uint64_t id, RunState state) {
+  const auto it = works_.find(id);
+  const Work work = std::move(it->second);
+  works_.erase(it);
+  if (work.holds_slot) {
+    --in_flight_;
+    ledger_->End(work.run, state);
+  }
+  work.exchange->Abort();
+}
+
+void UpstreamInstance::Crash(Duration restart) {
+  ++counts_["crashes"];
+  Log(LogLevel::kWarning, "crash", "instance={} restart_ms={}", options_.id,
+      ToMillis(restart));
+  while (!works_.empty()) StopWork(works_.begin()->first, RunState::kCut);
+  // The server is in use further up the stack when a request causes the crash.
+  if (server_ != nullptr) server_->StopListening();
+  loop_->Post([this] { server_.reset(); });
+  restart_ = loop_->After(restart, [this] {
+    if (const auto port = Start(); !port) {
+      Log(LogLevel::kError, "restart_failed", "instance={} {}", options_.id,
+          port.error().message);
+    }
+  });
+}
+
+Duration UpstreamInstance::DrawServiceTime() {
+  const TimePoint now = EventLoop::Now();
+  if (last_request_ == TimePoint{} || now - last_request_ > kCoolsAfter) {
+    warm_at_ = now + options_.cold_time;
+  }
+  last_request_ = now;
+  std::lognormal_distribution<double> spread(0, options_.sigma);
+  double ms = options_.service_ms * spread(random_);
+  if (now < warm_at_) ms *= options_.cold_factor;
+  const Fault* slow = FindFault("slow");
+  if (slow != nullptr) ms *= static_cast<double>(slow->value);
+  return FromSeconds(ms / 1000);
+}
+
+bool UpstreamInstance::Draw(int64_t percent) {
+  return std::uniform_int_distribution<int64_t>(0, 99)(random_) < percent;
+}
+
+UpstreamInstance::Fault* UpstreamInstance::FindFault(const std::string& name) {
+  const auto it = faults_.find(name);
+  if (it == faults_.end() || it->second.ends <= EventLoop::Now())
+    return nullptr;
+  return &it->second;
+}
+
+void UpstreamInstance::SampleLoad() {
+  if (FindFault("stale-load") != nullptr) return;
+  const TimePoint now = EventLoop::Now();
+  samples_.push_back({now, in_flight_});
+  while (samples_.size() > 1 && samples_[1].taken <= now - options_.load_lag) {
+    samples_.pop_front();
+  }
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/upstream/instance.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/json_reader.h"
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "upstream/run_ledger.h"
+
+namespace rwf {
+
+// One entry of the file of instances.
+struct InstanceOptions {
+  std::string id;
+  std::string service;
+  std::string address;
+  uint16_t port = 0;
+  int64_t slots = 0;
+  int64_t connections = 0;
+  double service_ms = 0;  // median
+
+  double sigma = 0.3;  // of the logarithm of the service time
+  uint64_t seed = 1;
+  double cold_factor = 3;
+  Duration cold_time = std::chrono::seconds(3);
+  Duration load_lag = std::chrono::milliseconds(500);
+};
+
+// One instance of a service, with the faults that can be set on it.
+class UpstreamInstance {
+ public:
+  // An instance without a request for so long has lost its warm cache.
+  static constexpr Duration kCoolsAfter = std::chrono::seconds(30);
+  static constexpr Duration kLoadSampling = std::chrono::milliseconds(100);
+
+  // `ledger` must outlive the instance.
+  UpstreamInstance(EventLoop* loop, InstanceOptions options, RunLedger* ledger);
+  UpstreamInstance(const UpstreamInstance&) = delete;
+  UpstreamInstance& operator=(const UpstreamInstance&) = delete;
+  ~UpstreamInstance();
+
+  // Listens on the address and port of the options; returns the port.
+  Result<uint16_t> Start();
+
+  const InstanceOptions& options() const { return options_; }
+  const std::map<std::string, int64_t>& counts() const { return counts_; }
+
+  struct Fault {
+    int64_t value = 0;
+    std::string text;
+    TimePoint ends{};
+    Duration restart{};
+  };
+  // True if `name` is a fault that SetFault knows.
+  static bool IsFault(const std::string& name);
+  // "none" removes all faults; "crash" acts at once.
+  void SetFault(const std::string& name, const Fault& fault);
+
+ private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+
+  struct Work {
+    Exchange exchange;
+    size_t run = 0;
+    bool holds_slot = true;
+    std::unique_ptr<Timer> timer;
+  };
+  struct LoadSample {
+    TimePoint taken{};
+    int64_t in_flight = 0;
+  };
+
+  void Handle(const Exchange& exchange);
+  void AnswerHealth(const Exchange& exchange);
+  void AnswerLoad(const Exchange& exchange);
+  // Refuses a request that has not begun to run.
+  void Refuse(const Exchange& exchange, const char* counter);
+  void BeginWork(const Exchange& exchange);
+  void FinishWork(uint64_t id);
+  void SendAnswer(const Exchange& exchange);
+  void StopWork(uint64_t id, RunState state);
+  void Crash(Duration restart);
+  Duration DrawServiceTime();
+  bool Draw(int64_t percent);
+  Fault* FindFault(const std::string& name);
+  void SampleLoad();
+
+  EventLoop* loop_;
+  InstanceOptions options_;
+  RunLedger* ledger_;
+  std::mt19937_64 random_;
+  std::map<std::string, Fault> faults_;
+  std::map<std::string, int64_t> counts_;
+  std::map<uint64_t, Work> works_;
+  uint64_t next_work_ = 0;
+  int64_t in_flight_ = 0;
+  TimePoint last_request_{};
+  TimePoint warm_at_{};
+  std::deque<LoadSample> samples_;
+  std::unique_ptr<Timer> sampling_;
+  std::unique_ptr<Timer> restart_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/upstream/run_ledger.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rwf {
+
+enum class RunState { kRunning, kCompleted, kCut, kCancelled };
+
+const char* RunStateName(RunState state);
+
+// One request that began to run.
+struct Run {
+  std::string load_id;
+  std::string instance;
+  std::string workspace;
+  std::string method;
+  std::string path;
+  int64_t started_ms = 0;  // wall time
+  RunState state = RunState::kRunning;
+};
+
+// All requests that began to run at any instance of the process.
+class RunLedger {
+ public:
+  size_t Begin(Run run);
+  void End(size_t index, RunState state) { runs_[index].state = state; }
+
+  // Runs `from` and following as JSON lines, at most `limit`.
+  std::string Lines(size_t from, size_t limit) const;
+
+ private:
+  std::vector<Run> runs_;
+};
+
+}  // namespace rwf
