Cut configurations into sections and compare them

Cause: only what changed may be transferred, a section must fit into the store's 1 MB, and operators need to see what a change does. Change: CutSections, Manifest and AssembleConfig with all digests checked; client blocks in chunks split by the bits of their hashes, so that the chunks depend on the set of blocks only; unchanged sections are taken from the configuration in force; DiffConfigs with entries named by elements. base: ParseJson builds the document itself and refuses members given twice and nesting deeper than 64.

--- a/src/base/json_reader.cc
+++ b/src/base/json_reader.cc
@@ -31,6 +31,105 @@
   return text;
 }
 
+// Builds a document from parser events and stops at what the grammar allows but
+// a strict reader must not accept: a member given twice, of which the library
+// would keep the last, and nesting so deep that recursive functions such as
+// dump() would exhaust the stack. The library's parser callbacks could do the
+// same, but take quadratic time on long arrays.
+class StrictBuilder : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return Add(nullptr) != nullptr; }
+  bool boolean(bool value) override { return Add(value) != nullptr; }
+  bool number_integer(int64_t value) override { return Add(value) != nullptr; }
+  bool number_unsigned(uint64_t value) override {
+    return Add(value) != nullptr;
+  }
+  bool number_float(double value, const std::string&) override {
+    return Add(value) != nullptr;
+  }
+  bool string(std::string& value) override {
+    return Add(std::move(value)) != nullptr;
+  }
+  bool binary(Json::binary_t&) override { return false; }
+  bool start_object(size_t) override { return Open(Json::object()); }
+  bool start_array(size_t) override { return Open(Json::array()); }
+  bool end_object() override { return Close(); }
+  bool end_array() override { return Close(); }
+
+  bool key(std::string& name) override {
+    Frame& top = open_.back();
+    top.key = name;
+    if (!top.value->contains(name)) return true;
+    fault_ = fmt::format("{}: is given twice", Pointer());
+    return false;
+  }
+
+  bool parse_error(size_t position, const std::string&,
+                   const Json::exception& e) override {
+    error_position_ = position;
+    fault_ = e.what();
+    return false;
+  }
+
+  // Empty when the document is sound.
+  const std::string& fault() const { return fault_; }
+  // Offset of a syntax error, 0 for other faults.
+  size_t error_position() const { return error_position_; }
+  Json Take() { return std::move(root_); }
+
+ private:
+  static constexpr size_t kMaxDepth = 64;
+
+  // An object or array that is not closed yet.
+  struct Frame {
+    Json* value;
+    std::string key;  // of the member that comes next
+  };
+
+  Json* Add(Json value) {
+    if (open_.empty()) return &(root_ = std::move(value));
+    Frame& top = open_.back();
+    if (top.value->is_object())
+      return &((*top.value)[top.key] = std::move(value));
+    top.value->push_back(std::move(value));
+    return &top.value->back();
+  }
+
+  bool Open(Json empty) {
+    if (open_.size() == kMaxDepth) {
+      fault_ =
+          fmt::format("{}: is nested deeper than {}", Pointer(), kMaxDepth);
+      return false;
+    }
+    Json* value = Add(std::move(empty));
+    open_.push_back({value, ""});
+    return true;
+  }
+
+  bool Close() {
+    open_.pop_back();
+    return true;
+  }
+
+  std::string Pointer() const {
+    Json::json_pointer out;
+    for (const Frame& it : open_) {
+      if (it.value->is_object())
+        out /= it.key;
+      else if (it.value == open_.back().value)
+        out /= it.value->size();
+      else
+        out /= it.value->size() - 1;
+    }
+    return out.to_string();
+  }
+
+  Json root_;
+  std::vector<Frame> open_;
+  std::string fault_;
+  size_t error_position_ = 0;
+};
+
 }  // namespace
 
 std::error_code make_error_code(JsonErrc code) {
@@ -39,18 +138,18 @@
 }
 
 Result<Json> ParseJson(std::string_view text, std::string_view source) {
-  try {
-    return Json::parse(text, nullptr, true, /*ignore_comments=*/true);
-  } catch (const Json::parse_error& e) {
-    const auto end =
-        text.begin() + static_cast<ptrdiff_t>(std::min(e.byte, text.size()));
-    const auto line = std::count(text.begin(), end, '\n') + 1;
+  StrictBuilder builder;
+  if (Json::sax_parse(text, &builder, Json::input_format_t::json,
+                      /*strict=*/true, /*ignore_comments=*/true))
+    return builder.Take();
+  if (builder.error_position() == 0)
     return Fail(JsonErrc::kSyntax,
-                fmt::format("{}:{}: {}", source, line, e.what()));
-  } catch (const Json::exception& e) {
-    // A number beyond the range of a double is no parse_error.
-    return Fail(JsonErrc::kSyntax, fmt::format("{}: {}", source, e.what()));
-  }
+                fmt::format("{}: {}", source, builder.fault()));
+  const auto end = text.begin() + static_cast<ptrdiff_t>(std::min(
+                                      builder.error_position(), text.size()));
+  const auto line = std::count(text.begin(), end, '\n') + 1;
+  return Fail(JsonErrc::kSyntax,
+              fmt::format("{}:{}: {}", source, line, builder.fault()));
 }
 
 std::string FormatProblems(const std::vector<JsonProblem>& problems) {
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -17,7 +17,8 @@
 std::error_code make_error_code(JsonErrc code);
 
 // Parses JSON with comments. A syntax error names `source`, the line and the
-// column.
+// column. A member given twice in one object and nesting deeper than 64 are
+// refused too.
 Result<Json> ParseJson(std::string_view text, std::string_view source);
 
 // One problem found in a document.
--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -309,20 +309,52 @@
                     kMaxQueue);
 }
 
-// A section that is an array of one struct.
-template <auto kMember, bool kRequired>
-void ReadList(JsonReader* document, const char* name, Config* config) {
-  ObjectReader(document).List(name, config->*kMember, kRequired);
+// Reads and writes the fields of one struct, or of a list of them.
+template <typename T>
+void ReadMember(JsonReader* document, const char* name, bool required,
+                std::vector<T>* out) {
+  ObjectReader(document).List(name, *out, required);
 }
 
-template <auto kMember>
-Json WriteList(const Config& config) {
-  auto copy = config.*kMember;
+void ReadMember(JsonReader* document, const char* name, bool,
+                std::vector<Digest>* out) {
+  ObjectReader(document).Digests(name, *out);
+}
+
+void ReadMember(JsonReader* document, const char* name, bool,
+                std::string* out) {
+  ObjectReader(document).Name(name, *out);
+}
+
+void ReadMember(JsonReader* document, const char* name, bool, Limits* out) {
+  JsonReader limits = document->Object(name);
+  ObjectReader reader(&limits);
+  Fields(reader, *out);
+  limits.Finish();
+}
+
+template <typename T>
+Json WriteMember(std::vector<T> value) {
   Json out;
-  ObjectWriter(&out).List("list", copy);
+  ObjectWriter(&out).List("list", value);
   return std::move(out["list"]);
 }
 
+Json WriteMember(const std::vector<Digest>& value) {
+  Json out;
+  ObjectWriter(&out).Digests("list", value);
+  return std::move(out["list"]);
+}
+
+Json WriteMember(const std::string& value) { return value; }
+
+Json WriteMember(Limits value) {
+  Json out;
+  ObjectWriter writer(&out);
+  Fields(writer, value);
+  return out;
+}
+
 // Reads {"block", "zone"} without a JsonReader: there may be 360,000 of them.
 void ReadClientBlocks(JsonReader* document, Config* config) {
   const Json* list = document->Array("client_blocks");
@@ -365,60 +397,34 @@
   return out;
 }
 
-#define RWF_LIST_SECTION(member, required)                          \
-  SectionCodec {                                                    \
-#member,                                                          \
-        [](JsonReader* document, Config* config) {                    \
-          ReadList<&Config::member, required>(document, #member,      \
-                                              config);                \
-        },                                                            \
-        [](const Config& config) {                                    \
-          return WriteList<&Config::member>(config);                  \
-        } \
+#define RWF_SECTION(member, required)                                  \
+  SectionCodec {                                                       \
+#member,                                                             \
+        [](JsonReader* document, Config* config) {                       \
+          ReadMember(document, #member, required, &config->member);      \
+        },                                                               \
+        [](Config* config) { config->member = {}; },                     \
+        [](const Config& config) { return WriteMember(config.member); } \
   }
 
 constexpr std::array kSections = {
-    SectionCodec{"site",
-                 [](JsonReader* document, Config* config) {
-                   ObjectReader(document).Name("site", config->site);
-                 },
-                 [](const Config& config) { return Json(config.site); }},
-    RWF_LIST_SECTION(regions, true),
-    RWF_LIST_SECTION(zones, true),
-    RWF_LIST_SECTION(links, false),
-    RWF_LIST_SECTION(entry_vms, true),
-    RWF_LIST_SECTION(services, true),
-    RWF_LIST_SECTION(workspaces, true),
-    SectionCodec{"withdrawn_keys",
-                 [](JsonReader* document, Config* config) {
-                   ObjectReader(document).Digests("withdrawn_keys",
-                                                  config->withdrawn_keys);
-                 },
-                 [](const Config& config) {
-                   Json out;
-                   ObjectWriter(&out).Digests("list", config.withdrawn_keys);
-                   return out["list"];
-                 }},
-    SectionCodec{"client_blocks", ReadClientBlocks, WriteClientBlocks},
-    RWF_LIST_SECTION(moves, false),
-    RWF_LIST_SECTION(drains, false),
-    SectionCodec{"limits",
-                 [](JsonReader* document, Config* config) {
-                   JsonReader limits = document->Object("limits");
-                   ObjectReader reader(&limits);
-                   Fields(reader, config->limits);
-                   limits.Finish();
-                 },
-                 [](const Config& config) {
-                   Limits copy = config.limits;
-                   Json out;
-                   ObjectWriter writer(&out);
-                   Fields(writer, copy);
-                   return out;
-                 }},
+    RWF_SECTION(site, true),
+    RWF_SECTION(regions, true),
+    RWF_SECTION(zones, true),
+    RWF_SECTION(links, false),
+    RWF_SECTION(entry_vms, true),
+    RWF_SECTION(services, true),
+    RWF_SECTION(workspaces, true),
+    RWF_SECTION(withdrawn_keys, false),
+    SectionCodec{"client_blocks", ReadClientBlocks,
+                 [](Config* config) { config->client_blocks.clear(); },
+                 WriteClientBlocks},
+    RWF_SECTION(moves, false),
+    RWF_SECTION(drains, false),
+    RWF_SECTION(limits, false),
 };
 
-#undef RWF_LIST_SECTION
+#undef RWF_SECTION
 
 }  // namespace
 
@@ -483,8 +489,13 @@
 }
 
 void SortUnordered(Config* config) {
-  std::sort(config->client_blocks.begin(), config->client_blocks.end());
-  std::sort(config->withdrawn_keys.begin(), config->withdrawn_keys.end());
+  // Assembled lists are sorted already; looking costs less than sorting.
+  const auto sort = [](auto& list) {
+    if (!std::is_sorted(list.begin(), list.end()))
+      std::sort(list.begin(), list.end());
+  };
+  sort(config->client_blocks);
+  sort(config->withdrawn_keys);
 }
 
 }  // namespace rwf
--- a/src/config/validator.cc
+++ b/src/config/validator.cc
@@ -240,14 +240,26 @@
   }
 
   void CheckClientBlocks() {
+    const auto& blocks = config_.client_blocks;
+    // Assembled configurations are sorted; a set of 360,000 blocks would cost
+    // more than all other checks together.
+    const bool is_sorted = std::is_sorted(blocks.begin(), blocks.end());
     std::unordered_set<uint64_t> seen;
-    seen.reserve(config_.client_blocks.size());
-    for (size_t i = 0; i < config_.client_blocks.size(); ++i) {
-      const ClientBlock& it = config_.client_blocks[i];
-      if (!seen.insert(uint64_t{it.address} << 8 | it.prefix_length).second)
+    const std::string* known_zone = nullptr;
+    for (size_t i = 0; i < blocks.size(); ++i) {
+      const ClientBlock& it = blocks[i];
+      const bool is_duplicate =
+          is_sorted ? i > 0 && it.address == blocks[i - 1].address &&
+                          it.prefix_length == blocks[i - 1].prefix_length
+                    : !seen.insert(uint64_t{it.address} << 8 | it.prefix_length)
+                           .second;
+      if (is_duplicate)
         Add(Pointer("/client_blocks/{}/block", i),
             fmt::format("duplicate {}", FormatBlock(it)));
-      if (!IsZone(it.zone))
+      if (known_zone != nullptr && *known_zone == it.zone) continue;
+      if (IsZone(it.zone))
+        known_zone = &it.zone;
+      else
         CheckZone(Pointer("/client_blocks/{}/zone", i), it.zone);
     }
   }
--- a/tests/base/json_reader_test.cc
+++ b/tests/base/json_reader_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <cstring>
+#include <string>
+#include <utility>
+
 namespace rwf {
 namespace {
 
@@ -47,5 +51,24 @@
   CHECK(broken.error().message.rfind("f.json:2:", 0) == 0);
 }
 
+// Guards against a value that is silently dropped, an exception that escapes
+// and a stack that overflows when a hostile document is shown in a message.
+TEST_CASE("ParseJson, hostile document, is refused as a syntax error") {
+  const std::pair<std::string, const char*> rows[] = {
+      {R"({"a": {"b": 1, "b": 2}})", "f: /a/b: is given twice"},
+      {std::string(1'000'000, '['), "f: /0/0/0"},
+      {std::string(100, '[') + std::string(100, ']'), "f: /0/0/0"},
+      {R"([1, {"a": 1, "a": 2}])", "f: /1/a: is given twice"},
+      {R"({"a": 1e999})", "f:1: "},
+  };
+  for (const auto& [text, message] : rows) {
+    const auto parsed = ParseJson(text, "f");
+    REQUIRE(!parsed);
+    CHECK(parsed.error().code == JsonErrc::kSyntax);
+    CHECK(parsed.error().message.substr(0, strlen(message)) == message);
+  }
+  CHECK(ParseJson(R"([{"a": 1}, {"a": 1}])", "f").has_value());
+}
+
 }  // namespace
 }  // namespace rwf
--- /dev/null
+++ b/tests/config/sections_test.cc
@@ -0,0 +1,184 @@
+#include "config/sections.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "config/config_error.h"
+#include "config/parser.h"
+#include "config/sample.h"
+
+namespace rwf {
+namespace {
+
+Config Sample() {
+  const auto config = ParseConfig(SampleConfig().dump(), "sample");
+  REQUIRE(config);
+  return **config;
+}
+
+// The sample with the design's target number of client blocks.
+Config Large(uint32_t n_blocks = 360'000) {
+  Config config = Sample();
+  config.client_blocks.clear();
+  for (uint32_t i = 0; i < n_blocks; ++i)
+    config.client_blocks.push_back(
+        {0x0a000000 + (i << 4), 28, i % 2 == 0 ? "z1" : "z2"});
+  return config;
+}
+
+SectionTexts TextsOf(const std::vector<Section>& sections) {
+  SectionTexts out;
+  for (const Section& it : sections) out[it.digest] = it.text;
+  return out;
+}
+
+std::vector<Section> Cut(const Config& config) {
+  auto sections = CutSections(config);
+  REQUIRE(sections);
+  return std::move(*sections);
+}
+
+TEST_CASE(
+    "AssembleConfig, all sections, gives the configuration that was cut") {
+  const Config config = Sample();
+  const auto sections = Cut(config);
+  const Manifest manifest = MakeManifest(config.generation, sections, "op-1");
+  const auto read = ParseManifest(SerializeManifest(manifest), "manifest");
+  REQUIRE(read);
+  CHECK(*read == manifest);
+  const auto assembled = AssembleConfig(*read, TextsOf(sections));
+  REQUIRE_MESSAGE(assembled, assembled.error().message);
+  CHECK(**assembled == config);
+  CHECK(ManifestOf(config, "op-1")->digest == manifest.digest);
+}
+
+// Guards against a torn, corrupt or foreign copy that replaces a good one.
+TEST_CASE("AssembleConfig, faulty copy, is refused with the reason") {
+  const Config config = Sample();
+  const auto sections = Cut(config);
+  const Manifest manifest = MakeManifest(7, sections, "op");
+  const SectionTexts texts = TextsOf(sections);
+  const auto code_of = [](const Manifest& m, const SectionTexts& t) {
+    const auto out = AssembleConfig(m, t);
+    REQUIRE(!out);
+    return out.error().code;
+  };
+  for (const Section& section : sections) {
+    SectionTexts damaged = texts;
+    damaged[section.digest] += " ";
+    CHECK(code_of(manifest, damaged) == ConfigErrc::kDigestMismatch);
+    damaged.erase(section.digest);
+    CHECK(code_of(manifest, damaged) == ConfigErrc::kMissingSection);
+  }
+  Manifest other = manifest;
+  other.generation = 8;  // A digest counts for one generation.
+  CHECK(code_of(other, texts) == ConfigErrc::kDigestMismatch);
+  CHECK(ParseManifest(SerializeManifest(other), "m").error().code ==
+        ConfigErrc::kDigestMismatch);
+
+  // Correct digests over contents that are not valid.
+  const auto with = [&](const std::string& name, const std::string& text) {
+    Manifest m = manifest;
+    SectionTexts t = texts;
+    m.sections[name] = Sha256(text);
+    m.digest = ManifestDigest(m.generation, m.sections);
+    t[Sha256(text)] = text;
+    return code_of(m, t);
+  };
+  CHECK(with("zones", "[]") == ConfigErrc::kInvalid);
+  CHECK(with("zones", "[") == ConfigErrc::kInvalid);
+  CHECK(with("limits", R"({"newer_setting":1})") == ConfigErrc::kInvalid);
+  CHECK(with("newer_section", "[]") == ConfigErrc::kInvalid);
+  CHECK(with("client_blocks.0x", "[]") == ConfigErrc::kInvalid);
+  Manifest short_manifest = manifest;
+  short_manifest.sections.erase("moves");
+  short_manifest.digest = ManifestDigest(7, short_manifest.sections);
+  CHECK(code_of(short_manifest, texts) == ConfigErrc::kMissingSection);
+}
+
+TEST_CASE("CutSections, 360,000 client blocks, stays below 1 MB per section") {
+  const Config config = Large();
+  const auto sections = Cut(config);
+  size_t n_chunks = 0;
+  for (const Section& it : sections) {
+    CHECK(it.text.size() < kMaxSectionBytes);
+    if (it.name.rfind("client_blocks", 0) == 0) ++n_chunks;
+  }
+  CHECK(n_chunks == 128);
+  const Manifest manifest = MakeManifest(7, sections, "op");
+  const auto assembled = AssembleConfig(manifest, TextsOf(sections));
+  REQUIRE_MESSAGE(assembled, assembled.error().message);
+  CHECK(**assembled == config);
+}
+
+// Guards against deltas that grow with the number of blocks.
+TEST_CASE("MissingSections, one block changed, is one chunk that assembles") {
+  const Config before = Large();
+  const Manifest base = MakeManifest(7, Cut(before), "a");
+  const auto edits = {
+      +[](Config* c) { c->client_blocks[1000].zone = "z2"; },
+      +[](Config* c) { c->client_blocks.erase(c->client_blocks.begin() + 9); },
+      +[](Config* c) {
+        c->client_blocks.push_back({0xc0a80000, 16, "z1"});
+      },
+  };
+  for (const auto& edit : edits) {
+    Config after = before;
+    after.generation = 8;
+    edit(&after);
+    const auto sections = Cut(after);
+    const Manifest manifest = MakeManifest(8, sections, "b");
+    const auto missing = MissingSections(manifest, &base);
+    REQUIRE(missing.size() == 1);
+    const SectionTexts texts = {{missing[0], TextsOf(sections)[missing[0]]}};
+    const auto assembled = AssembleConfig(manifest, texts, &base, &before);
+    REQUIRE_MESSAGE(assembled, assembled.error().message);
+    CHECK(**assembled == after);
+    CHECK(AssembleConfig(manifest, texts).error().code ==
+          ConfigErrc::kMissingSection);
+  }
+}
+
+TEST_CASE("AssembleConfig, changed sections other than blocks, replaces them") {
+  const Config before = Large(10'000);
+  const Manifest base = MakeManifest(7, Cut(before), "a");
+  Config after = before;
+  after.generation = 8;
+  after.drains.clear();
+  after.workspaces[0].rate = 99;
+  const auto sections = Cut(after);
+  const Manifest manifest = MakeManifest(8, sections, "b");
+  CHECK(MissingSections(manifest, &base).size() == 2);
+  const auto assembled =
+      AssembleConfig(manifest, TextsOf(sections), &base, &before);
+  REQUIRE_MESSAGE(assembled, assembled.error().message);
+  CHECK(**assembled == after);
+}
+
+TEST_CASE("CutSections, chunk that outgrows its limit, is split in two") {
+  const auto chunks = [](const Config& config) {
+    std::vector<std::string> out;
+    for (const Section& it : Cut(config)) {
+      if (it.name.rfind("client_blocks", 0) == 0) out.push_back(it.name);
+    }
+    return out;
+  };
+  using Names = std::vector<std::string>;
+  CHECK(chunks(Large(0)) == Names{"client_blocks"});
+  CHECK(chunks(Large(4096)) == Names{"client_blocks"});
+  CHECK(chunks(Large(4097)) == Names{"client_blocks.0", "client_blocks.1"});
+}
+
+TEST_CASE("CutSections, section beyond the store's limit, is refused") {
+  Config config = Sample();
+  for (int i = 0; i < 20'000; ++i)
+    config.withdrawn_keys.push_back(Sha256(std::to_string(i)));
+  const auto sections = CutSections(config);
+  REQUIRE(!sections);
+  CHECK(sections.error().code == ConfigErrc::kTooLarge);
+}
+
+}  // namespace
+}  // namespace rwf
