Add the share ledger: loans, inheritance and change of lists

Change: ResourceAccount (bucket or slots made of own, lent, borrowed and inherited pieces), ShareWindow (parts by all lists that may be in force), RefusalTracker, Borrower, Lender, Demand and ShareLedger on top of them.

--- /dev/null
+++ b/src/rates/borrower.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "rates/resource.h"
+#include "wire/messages_generated.h"
+
+namespace rwf {
+
+// Messages to send to one peer, the return first. Absent parts are null.
+struct LoanMessages {
+  std::string peer;
+  std::unique_ptr<wire::LoanReturnT> give_back;
+  std::unique_ptr<wire::LoanRequestT> request;
+};
+
+// The borrowing side of a ledger: asks peers for what is short, renews loans in
+// use and returns the others.
+class Borrower {
+ public:
+  // References stay valid while resources are added.
+  using Resources = std::deque<Resource>;
+
+  explicit Borrower(uint64_t incarnation) : incarnation_(incarnation) {}
+
+  std::vector<LoanMessages> Tick(Resources* resources, TimePoint now);
+
+  // Puts a grant to use: each item once, and until a time counted from the
+  // moment the request was sent.
+  void OnGrant(const std::string& peer, const wire::LoanGrantT& grant,
+               const FindResource& find, TimePoint now);
+
+  // A lender of ours asks for this resource itself: gives back up to what it
+  // asks for.
+  void OnRecall(const std::string& peer, const Slice& asked, Resource* resource,
+                TimePoint now);
+
+  bool HasReturns() const { return !returns_.empty(); }
+
+  uint64_t requests_sent() const { return requests_sent_; }
+  uint64_t items_borrowed() const { return items_borrowed_; }
+  uint64_t items_renewed() const { return items_renewed_; }
+  uint64_t items_returned() const { return items_returned_; }
+  uint64_t grants_ignored() const { return grants_ignored_; }
+
+ private:
+  struct Ask {
+    Resource* resource = nullptr;
+    Slice asked;
+    int64_t tokens = 0;  // part of the capacity that requests wait for
+  };
+  struct Outstanding {
+    std::string peer;
+    TimePoint sent_at;
+    std::vector<Ask> asks;
+    std::set<uint64_t> renewals;
+    bool is_late = false;
+  };
+  using Asks = std::map<std::string, std::vector<Ask>>;
+
+  void Plan(Resource* resource, TimePoint now, Asks* asks);
+  void ReturnSpare(Resource* resource, const Slice& want, TimePoint now);
+  void Return(Resource* resource, const BorrowedPiece& piece, TimePoint now);
+  // Backs off from peers that do not answer, such as those cut off.
+  void NoteLate(TimePoint now);
+  void NoteAnswer(Resource* resource, const std::string& peer,
+                  const Slice& asked, const Slice& granted, TimePoint now);
+  std::unique_ptr<wire::LoanRequestT> BuildRequest(const std::string& peer,
+                                                   const std::vector<Ask>& asks,
+                                                   Resources* resources,
+                                                   TimePoint now);
+
+  uint64_t incarnation_;
+  uint64_t last_request_id_ = 0;
+  std::map<uint64_t, Outstanding> outstanding_;
+  std::map<std::string, TimePoint> renewed_at_;
+  // Loan ids to return by lender and its incarnation.
+  std::map<std::pair<std::string, uint64_t>, std::vector<uint64_t>> returns_;
+  uint64_t requests_sent_ = 0;
+  uint64_t items_borrowed_ = 0;
+  uint64_t items_renewed_ = 0;
+  uint64_t items_returned_ = 0;
+  uint64_t grants_ignored_ = 0;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/rates/lender.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "rates/resource.h"
+#include "wire/messages_generated.h"
+
+namespace rwf {
+
+// The lending side of a ledger: lends what the own need leaves over, renews
+// loans while that is so, and otherwise lets them run out.
+class Lender {
+ public:
+  explicit Lender(uint64_t incarnation) : incarnation_(incarnation) {}
+
+  // The answer to a request; `find` gives null for unknown resources. Requests
+  // older than the newest one of the same process are answered with nothing.
+  wire::LoanGrantT Answer(const std::string& peer,
+                          const wire::LoanRequestT& request,
+                          const FindResource& find, TimePoint now);
+
+  uint64_t items_lent() const { return items_lent_; }
+
+ private:
+  struct Newest {
+    uint64_t incarnation = 0;
+    uint64_t request_id = 0;
+  };
+
+  bool IsNewer(const std::string& peer, const wire::LoanRequestT& request);
+  bool MayRenew(const Resource& resource, const LentPiece& piece,
+                TimePoint now) const;
+  // Lends from one source: the own share, or that inherited from a VM.
+  void LendFrom(Resource* resource, const std::string& source,
+                const std::string& peer, Slice* wanted, const Slice& spare,
+                int64_t tokens, TimePoint end, TimePoint now,
+                wire::LoanGrantT* grant);
+
+  uint64_t incarnation_;
+  uint64_t last_loan_id_ = 0;
+  std::map<std::string, Newest> newest_;
+  uint64_t items_lent_ = 0;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/rates/resource.cc
@@ -0,0 +1,55 @@
+#include "rates/resource.h"
+
+#include <algorithm>
+
+namespace rwf {
+namespace {
+
+// Reserve above recent use, in percent of it. All VMs together may then run at
+// 95% of a rate without wanting more than there is.
+constexpr int64_t kReservePercent = 5;
+
+}  // namespace
+
+Slice OwnNeed(const Resource& resource, TimePoint now) {
+  const ResourceAccount& account = resource.account;
+  const bool idle = resource.demand.IsIdle(now);
+  if (idle && resource.waiting == 0) return {};
+  if (resource.IsSlots()) {
+    const int64_t peak =
+        std::max(resource.demand.PeakLevel(), account.HeldSlots());
+    return {0, std::min(resource.whole.capacity, peak + resource.waiting)};
+  }
+  const Slice& whole = resource.whole;
+  const int64_t recent =
+      std::min(resource.demand.PerSecond(resource.Unit()), whole.rate);
+  Slice need;
+  need.rate =
+      std::min(whole.rate, recent + FloorShare(recent, kReservePercent, 100));
+  // Capacity in proportion to the rate, with room for two requests, and for
+  // those that wait.
+  const int64_t missing = std::max<int64_t>(
+      0, resource.waiting * resource.Unit() - account.level());
+  need.capacity = FloorShare(whole.capacity, need.rate, whole.rate) +
+                  2 * resource.Unit() + missing;
+  need.capacity = std::min(need.capacity, whole.capacity);
+  return need;
+}
+
+int64_t TokensToLend(const Resource& resource, TimePoint now) {
+  if (resource.IsSlots() || resource.waiting > 0) return 0;
+  const ResourceAccount& account = resource.account;
+  const int64_t kept =
+      resource.demand.IsIdle(now)
+          ? 0
+          : std::max(account.usable().capacity / 2, 2 * resource.Unit());
+  return std::max<int64_t>(0, account.level() - kept);
+}
+
+int64_t TokensShort(const Resource& resource) {
+  if (resource.IsSlots()) return 0;
+  return std::max<int64_t>(
+      0, resource.waiting * resource.Unit() - resource.account.level());
+}
+
+}  // namespace rwf
--- a/src/rates/share_ledger.h
+++ b/src/rates/share_ledger.h
@@ -1,15 +1,21 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
 #include "config/config.h"
+#include "rates/borrower.h"
+#include "rates/lender.h"
+#include "rates/refusal_tracker.h"
+#include "rates/resource.h"
+#include "rates/share_window.h"
 #include "wire/messages_generated.h"
 
 namespace rwf {
@@ -35,13 +41,6 @@
   TimePoint held_until = TimePoint::max();  // when acquired; see SlotDeadline
 };
 
-// Messages to send to one peer. Absent parts are null.
-struct LoanMessages {
-  std::string peer;
-  std::unique_ptr<wire::LoanRequestT> request;
-  std::unique_ptr<wire::LoanReturnT> give_back;
-};
-
 // Monotonic counts since the ledger was built.
 struct LedgerCounters {
   uint64_t admitted = 0;
@@ -53,7 +52,7 @@
   uint64_t items_renewed = 0;
   uint64_t items_returned = 0;
   uint64_t grants_ignored = 0;  // late, doubled or of another incarnation
-  uint64_t inherited = 0;       // times a dead VM's share came into use
+  uint64_t inherited = 0;       // VMs whose share has been in use here
 };
 
 // Name of the bytes resource of a link.
@@ -69,7 +68,6 @@
 class ShareLedger {
  public:
   ShareLedger(std::string vm_id, uint64_t incarnation, TimePoint start);
-  ~ShareLedger();
   ShareLedger(const ShareLedger&) = delete;
   ShareLedger& operator=(const ShareLedger&) = delete;
 
@@ -82,8 +80,10 @@
   void ApplyConfig(const Config& config, TimePoint now,
                    uint64_t entry_vms_since = 0);
 
-  // `vm` has announced ConfirmedGeneration() == generation. Own shares grow
-  // once all VMs of the older entry_vms lists have.
+  // The newest known process of `vm` has announced ConfirmedGeneration() ==
+  // generation. Own shares grow once all VMs of the older entry_vms lists have.
+  // What a heartbeat tells of other VMs is to be passed on before what it tells
+  // of its sender: a VM that restarted may confirm less than before.
   void SetConfirmed(const std::string& vm, uint64_t generation, TimePoint now);
 
   // The newest generation that all that this ledger uses and lends conforms to.
@@ -125,12 +125,15 @@
   // slots are no longer held.
   std::vector<SlotToken> TakeEndedSlots(TimePoint now);
 
-  // Slots free to TryAcquireSlot now, and all that may be used.
+  // Slots free to TryAcquireSlot now.
   int64_t FreeSlots(ResourceHandle handle, TimePoint now);
-  int64_t UsableSlots(ResourceHandle handle, TimePoint now);
+
+  // What this VM may use of a resource now: refill a second and capacity in
+  // millionths of a request or in bytes, or the number of slots as capacity.
+  Slice Usable(ResourceHandle handle, TimePoint now);
 
   // Number of requests (bytes for a link) that wait for this resource. Call
-  // Tick right after it rises from 0; the next grants decide those requests.
+  // Tick right after a rise, once for all arrivals of one event loop turn.
   void SetWaiting(ResourceHandle handle, int64_t n);
 
   // How long until one request would be admitted if none came before it. Zero
@@ -138,9 +141,13 @@
   Duration RetryAfter(ResourceHandle handle, TimePoint now);
 
   // Requests for what is short, renewals and returns. Call it every 10 ms while
-  // something waits, else every 100 ms.
+  // something waits, else every 100 ms, and at once when WantsTick.
   std::vector<LoanMessages> Tick(TimePoint now);
 
+  // True if a peer waits for loans that Tick would return, or requests wait
+  // that Tick has not seen.
+  bool WantsTick() const { return wants_tick_ || borrower_.HasReturns(); }
+
   // What is lent for a peer's request. The messages of one peer may come late,
   // doubled or out of order. The answer must be sent on the link the request
   // came from.
@@ -168,11 +175,44 @@
   // Level of a rate or link in millionths of a request or in bytes.
   int64_t Level(ResourceHandle handle, TimePoint now);
 
-  const LedgerCounters& counters() const;
+  LedgerCounters counters() const;
 
  private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  using Key = std::pair<wire::ResourceKind, std::string>;
+
+  Resource* Get(ResourceHandle handle);
+  const Resource* Get(ResourceHandle handle) const;
+  Resource* FindResource(wire::ResourceKind kind, const std::string& name);
+  Resource* AddResource(wire::ResourceKind kind, const std::string& name,
+                        TimePoint now);
+  bool TakeTokens(ResourceHandle handle, int64_t amount, TimePoint now,
+                  bool retry);
+  // The part of a resource that `vm` owns.
+  Slice ShareOf(const std::string& vm, const Resource& resource) const;
+  // Brings own and inherited shares in line with the window.
+  void RefreshShares(TimePoint now);
+  void RefreshInheritance(TimePoint now);
+  void RefreshCandidates();
+  void Settle(TimePoint now);
+
+  std::string vm_id_;
+  uint64_t incarnation_;
+  TimePoint own_from_;
+  bool own_allowed_ = true;
+  uint64_t generation_ = 0;
+  uint64_t confirmed_ = 0;
+  ShareWindow window_;
+  RefusalTracker refusals_;
+  Lender lender_;
+  Borrower borrower_;
+  Borrower::Resources resources_;
+  std::map<Key, uint32_t, std::less<>> index_;
+  std::vector<std::string> neighbours_;  // empty: chosen from the ring
+  std::map<std::string, TimePoint> probed_at_;
+  std::map<std::string, bool> inheriting_;
+  uint64_t last_token_ = 0;
+  bool wants_tick_ = false;
+  LedgerCounters counters_;
 };
 
 }  // namespace rwf
