--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -48,8 +48,8 @@
   return std::move(*result);
 }
 
-rwf::SectionTexts TextsOf(const std::vector<rwf::Section>& sections) {
-  rwf::SectionTexts out;
+rwf::TextsByDigest TextsOf(const std::vector<rwf::Section>& sections) {
+  rwf::TextsByDigest out;
   for (const rwf::Section& it : sections) out[it.digest] = it.text;
   return out;
 }
@@ -62,7 +62,7 @@
 
 void BmAssembleAll(benchmark::State& state) {
   const auto sections = Unwrap(rwf::CutSections(TargetConfig()));
-  const auto manifest = rwf::MakeManifest(1, sections, "op");
+  const auto manifest = rwf::MakeIndex(1, sections);
   const auto texts = TextsOf(sections);
   for (auto _ : state)
     benchmark::DoNotOptimize(Unwrap(rwf::AssembleConfig(manifest, texts)));
@@ -75,12 +75,15 @@
   rwf::Config after = before;
   after.generation = 2;
   after.client_blocks[5].zone = ZoneName(7);
-  const auto base =
-      rwf::MakeManifest(1, Unwrap(rwf::CutSections(before)), "op");
+  const auto base = rwf::MakeIndex(1, Unwrap(rwf::CutSections(before)));
   const auto sections = Unwrap(rwf::CutSections(after));
-  const auto manifest = rwf::MakeManifest(2, sections, "op");
+  const auto manifest = rwf::MakeIndex(2, sections);
   const auto texts = TextsOf(sections);
-  size_t n_bytes = rwf::SerializeManifest(manifest).size();
+  // Names and hexadecimal digests stand in the manifest.
+  size_t n_bytes = 0;
+  for (const auto& [name, digest] : manifest.sections) {
+    n_bytes += name.size() + rwf::ToHex(digest).size();
+  }
   for (const rwf::Digest& it : rwf::MissingSections(manifest, &base))
     n_bytes += texts.at(it).size();
   for (auto _ : state) {
--- a/src/config/sections.cc
+++ b/src/config/sections.cc
@@ -145,14 +145,14 @@
   });
 }
 
-size_t ChunkCount(const Manifest& manifest) {
+size_t ChunkCount(const SectionIndex& manifest) {
   return static_cast<size_t>(std::ranges::count_if(
       manifest.sections,
       [](const auto& it) { return RangeOfChunk(it.first).has_value(); }));
 }
 
 // The section names that a manifest must have, apart from chunks.
-std::vector<std::string> MissingNames(const Manifest& manifest) {
+std::vector<std::string> MissingNames(const SectionIndex& manifest) {
   std::vector<std::string> out;
   for (const SectionCodec& it : SectionCodecs()) {
     if (it.name == kClientBlocks) continue;
@@ -165,7 +165,7 @@
 // The text of a section, checked against its digest.
 Result<const std::string*> FindText(const std::string& name,
                                     const Digest& digest,
-                                    const SectionTexts& texts) {
+                                    const TextsByDigest& texts) {
   const auto it = texts.find(digest);
   if (it == texts.end())
     return Fail(ConfigErrc::kMissingSection,
@@ -197,81 +197,41 @@
   for (Section& it : out) {
     if (it.text.size() > kMaxSectionBytes)
       return Fail(ConfigErrc::kTooLarge,
-                  fmt::format("section {} has {} bytes, the store accepts {}",
+                  fmt::format("section {} has {} bytes, at most {} are allowed",
                               it.name, it.text.size(), kMaxSectionBytes));
     it.digest = Sha256(it.text);
   }
   return out;
 }
 
-Digest ManifestDigest(uint64_t generation,
-                      const std::map<std::string, Digest>& sections) {
+Digest IndexDigest(uint64_t generation,
+                   const std::map<std::string, Digest>& sections) {
   std::string text = fmt::format("{}\n", generation);
   for (const auto& [name, digest] : sections)
     text += fmt::format("{} {}\n", name, ToHex(digest));
   return Sha256(text);
 }
 
-Manifest MakeManifest(uint64_t generation, const std::vector<Section>& sections,
-                      std::string operation_id) {
-  Manifest out;
+SectionIndex MakeIndex(uint64_t generation,
+                       const std::vector<Section>& sections) {
+  SectionIndex out;
   out.generation = generation;
-  out.operation_id = std::move(operation_id);
   for (const Section& it : sections) out.sections[it.name] = it.digest;
-  out.digest = ManifestDigest(generation, out.sections);
+  out.digest = IndexDigest(generation, out.sections);
   return out;
 }
 
-Result<Manifest> ManifestOf(const Config& config, std::string operation_id) {
+Result<SectionIndex> IndexOf(const Config& config) {
   const auto sections = CutSections(config);
   if (!sections) return tl::unexpected<Error>(sections.error());
-  return MakeManifest(config.generation, *sections, std::move(operation_id));
-}
-
-std::string SerializeManifest(const Manifest& manifest) {
-  Json sections = Json::object();
-  for (const auto& [name, digest] : manifest.sections)
-    sections[name] = ToHex(digest);
-  return Json{{"generation", manifest.generation},
-              {"digest", ToHex(manifest.digest)},
-              {"sections", std::move(sections)},
-              {"operation_id", manifest.operation_id}}
-      .dump();
-}
-
-Result<Manifest> ParseManifest(std::string_view text, std::string_view source) {
-  const auto document = ParseJson(text, source);
-  if (!document) return Fail(ConfigErrc::kSyntax, document.error().message);
-  std::vector<JsonProblem> problems;
-  JsonReader reader(*document, "", &problems);
-  Manifest out;
-  out.generation =
-      static_cast<uint64_t>(reader.Integer("generation", 0, INT64_MAX));
-  out.operation_id = reader.String("operation_id", "");
-  if (!FromHex(reader.String("digest"), &out.digest))
-    reader.AddProblem("digest", "expected 64 hexadecimal characters");
-  const JsonReader sections = reader.Object("sections");
-  for (const auto& [name, value] : sections.value().items()) {
-    if (!value.is_string() ||
-        !FromHex(value.get<std::string>(), &out.sections[name]))
-      reader.AddProblem(fmt::format("sections/{}", name).c_str(),
-                        "expected 64 hexadecimal characters");
-  }
-  reader.Finish();
-  if (!problems.empty())
-    return tl::unexpected<Error>(InvalidConfig(source, problems));
-  if (ManifestDigest(out.generation, out.sections) != out.digest)
-    return Fail(
-        ConfigErrc::kDigestMismatch,
-        fmt::format("{}: the digest is not that of the sections", source));
-  return out;
+  return MakeIndex(config.generation, *sections);
 }
 
 Result<std::shared_ptr<const Config>> AssembleConfig(
-    const Manifest& manifest, const SectionTexts& texts,
-    const Manifest* base_manifest, const Config* base) {
-  assert((base_manifest == nullptr) == (base == nullptr));
-  if (ManifestDigest(manifest.generation, manifest.sections) != manifest.digest)
+    const SectionIndex& manifest, const TextsByDigest& texts,
+    const SectionIndex* base_index, const Config* base) {
+  assert((base_index == nullptr) == (base == nullptr));
+  if (IndexDigest(manifest.generation, manifest.sections) != manifest.digest)
     return Fail(ConfigErrc::kDigestMismatch,
                 "the digest of the manifest is not that of its sections");
   const auto missing = MissingNames(manifest);
@@ -286,9 +246,9 @@
   std::vector<std::pair<std::string, const std::string*>> changed;
   std::vector<HashRange> kept;
   for (const auto& [name, digest] : manifest.sections) {
-    if (base_manifest != nullptr) {
-      const auto it = base_manifest->sections.find(name);
-      if (it != base_manifest->sections.end() && it->second == digest) {
+    if (base_index != nullptr) {
+      const auto it = base_index->sections.find(name);
+      if (it != base_index->sections.end() && it->second == digest) {
         if (const auto range = RangeOfChunk(name)) kept.push_back(*range);
         continue;
       }
@@ -297,7 +257,7 @@
     if (!text) return tl::unexpected<Error>(text.error());
     changed.emplace_back(name, *text);
   }
-  if (base_manifest != nullptr && kept.size() != ChunkCount(*base_manifest))
+  if (base_index != nullptr && kept.size() != ChunkCount(*base_index))
     KeepBlocks(kept, config.get());
   const auto n_kept = static_cast<ptrdiff_t>(config->client_blocks.size());
 
@@ -317,8 +277,8 @@
   return config;
 }
 
-std::vector<Digest> MissingSections(const Manifest& manifest,
-                                    const Manifest* base) {
+std::vector<Digest> MissingSections(const SectionIndex& manifest,
+                                    const SectionIndex* base) {
   std::set<Digest> known;
   if (base != nullptr) {
     for (const auto& [name, digest] : base->sections) known.insert(digest);
--- a/src/config/sections.h
+++ b/src/config/sections.h
@@ -14,8 +14,9 @@
 
 namespace rwf {
 
-// Largest value that the store accepts.
-inline constexpr size_t kMaxSectionBytes = 1'000'000;
+// Largest text of one section: it has to fit into a value of the store and into
+// one message between entry VMs.
+inline constexpr size_t kMaxSectionBytes = 800'000;
 
 // Most client blocks in one chunk. A block takes up to 110 bytes of text, so
 // that a full chunk stays below half of kMaxSectionBytes. Half as many would
@@ -39,46 +40,40 @@
 Result<std::vector<Section>> CutSections(const Config& config);
 
 // Names the sections of one generation.
-struct Manifest {
+struct SectionIndex {
   uint64_t generation = 0;
-  Digest digest;  // of the whole configuration, see ManifestDigest()
+  Digest digest;  // of the whole configuration, see IndexDigest()
   std::map<std::string, Digest> sections;
-  std::string operation_id;  // of the write that made this generation
 
-  friend bool operator==(const Manifest&, const Manifest&) = default;
+  friend bool operator==(const SectionIndex&, const SectionIndex&) = default;
 };
 
 // SHA-256 over the generation and the digests of all sections: equal for equal
 // configurations, whoever wrote them.
-Digest ManifestDigest(uint64_t generation,
-                      const std::map<std::string, Digest>& sections);
+Digest IndexDigest(uint64_t generation,
+                   const std::map<std::string, Digest>& sections);
 
-Manifest MakeManifest(uint64_t generation, const std::vector<Section>& sections,
-                      std::string operation_id);
+SectionIndex MakeIndex(uint64_t generation,
+                       const std::vector<Section>& sections);
 
 // The manifest that CutSections(config) leads to.
-Result<Manifest> ManifestOf(const Config& config, std::string operation_id);
-
-std::string SerializeManifest(const Manifest& manifest);
-
-// Fails on malformed text and when the digest is not that of the sections.
-Result<Manifest> ParseManifest(std::string_view text, std::string_view source);
+Result<SectionIndex> IndexOf(const Config& config);
 
 // Texts of sections by their digests.
-using SectionTexts = std::map<Digest, std::string>;
+using TextsByDigest = std::map<Digest, std::string>;
 
 // Builds the configuration that `manifest` names. Every text is checked against
 // its digest and the result is validated as ParseConfig() does. Sections that
-// `base_manifest` names with the same digest are taken from `base`, the
+// `base_index` names with the same digest are taken from `base`, the
 // configuration assembled from it, and need no text; both are null for a
 // complete assembly.
 Result<std::shared_ptr<const Config>> AssembleConfig(
-    const Manifest& manifest, const SectionTexts& texts,
-    const Manifest* base_manifest = nullptr, const Config* base = nullptr);
+    const SectionIndex& manifest, const TextsByDigest& texts,
+    const SectionIndex* base_index = nullptr, const Config* base = nullptr);
 
 // Digests that `manifest` names and `base` (may be null) does not: what has to
 // be transferred.
-std::vector<Digest> MissingSections(const Manifest& manifest,
-                                    const Manifest* base);
+std::vector<Digest> MissingSections(const SectionIndex& manifest,
+                                    const SectionIndex* base);
 
 }  // namespace rwf
--- /dev/null
+++ b/src/entry/metrics.cc
@@ -0,0 +1,72 @@
+#include "entry/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace rwf {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kLatencySeconds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+
+}  // namespace
+
+Metrics::Metrics()
+    : requests_(&prometheus::BuildCounter()
+                     .Name("rwf_requests_total")
+                     .Help("Requests by service and result")
+                     .Register(registry_)),
+      latencies_(&prometheus::BuildHistogram()
+                      .Name("rwf_request_seconds")
+                      .Help("Time from arrival to answer by service")
+                      .Register(registry_)),
+      failures_(&prometheus::BuildCounter()
+                     .Name("rwf_upstream_failures_total")
+                     .Help("Attempts at upstreams without a usable answer")
+                     .Register(registry_)),
+      lookups_(&prometheus::BuildCounter()
+                    .Name("rwf_lookups_total")
+                    .Help("Look-ups answered")
+                    .Register(registry_)
+                    .Add({})),
+      retries_(&prometheus::BuildCounter()
+                    .Name("rwf_retries_total")
+                    .Help("Requests sent to an upstream again")
+                    .Register(registry_)
+                    .Add({})) {}
+
+void Metrics::CountRequest(const std::string& service,
+                           const std::string& result, Duration latency) {
+  prometheus::Counter*& counter = request_counters_[{service, result}];
+  if (counter == nullptr) {
+    counter = &requests_->Add({{"service", service}, {"result", result}});
+  }
+  counter->Increment();
+  prometheus::Histogram*& histogram = latency_histograms_[service];
+  if (histogram == nullptr) {
+    histogram = &latencies_->Add({{"service", service}}, kLatencySeconds);
+  }
+  histogram->Observe(ToSeconds(latency));
+}
+
+void Metrics::CountUpstreamFailure(const std::string& cause) {
+  failures_->Add({{"cause", cause}}).Increment();
+}
+
+void Metrics::AddValue(const std::string& name, const std::string& help,
+                       std::function<double()> read) {
+  prometheus::Gauge& gauge =
+      prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(
+          {});
+  values_.emplace_back(&gauge, std::move(read));
+}
+
+std::string Metrics::Collect() {
+  for (const auto& [gauge, read] : values_) gauge->Set(read());
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, registry_.Collect());
+  return out.str();
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+
+namespace rwf {
+
+// The metrics of one process, in the text format of Prometheus.
+class Metrics {
+ public:
+  Metrics();
+
+  // One request ended. `result` is "ran" or a refusal code.
+  void CountRequest(const std::string& service, const std::string& result,
+                    Duration latency);
+  void CountLookup() { lookups_->Increment(); }
+  void CountRetry() { retries_->Increment(); }
+  // An answer of an upstream that was not passed on, by cause.
+  void CountUpstreamFailure(const std::string& cause);
+
+  // A value that is read when the metrics are collected. Counts that only grow
+  // are named `..._total`.
+  void AddValue(const std::string& name, const std::string& help,
+                std::function<double()> read);
+
+  std::string Collect();
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>* requests_;
+  prometheus::Family<prometheus::Histogram>* latencies_;
+  prometheus::Family<prometheus::Counter>* failures_;
+  prometheus::Counter* lookups_;
+  prometheus::Counter* retries_;
+  std::map<std::pair<std::string, std::string>, prometheus::Counter*>
+      request_counters_;
+  std::map<std::string, prometheus::Histogram*> latency_histograms_;
+  std::vector<std::pair<prometheus::Gauge*, std::function<double()>>> values_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/node.cc
@@ -0,0 +1,543 @@
+#include "entry/node.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "base/log.h"
+#include "net/net_error.h"
+
+namespace rwf {
+namespace {
+
+constexpr Duration kFastTick = std::chrono::milliseconds(10);
+constexpr Duration kSlowTick = std::chrono::milliseconds(50);
+// After the answers that name this VM have expired, for callers whose clocks
+// or timers are late.
+constexpr Duration kStopMargin = std::chrono::seconds(1);
+// Whole withdrawal sets are exchanged with one peer no more often than this.
+constexpr Duration kWithdrawalExchange = std::chrono::seconds(1);
+// Withdrawals in one message; 32 bytes each.
+constexpr size_t kWithdrawalsPerMessage = 16384;
+
+const char* MemberEventName(MemberEventKind kind) {
+  // In the order of MemberEventKind.
+  static constexpr std::array<const char*, 10> kNames = {
+      "alive",   "restarted", "suspect",    "dead",    "left",
+      "leaving", "duplicate", "superseded", "refuted", "paused"};
+  return kNames.at(static_cast<size_t>(kind));
+}
+
+}  // namespace
+
+Node::Node(EventLoop* loop, Settings settings)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      incarnation_(MakeIncarnation(EventLoop::WallNow())),
+      seed_(RandomU64()),
+      random_(seed_),
+      identity_{settings_.cluster, settings_.vm, incarnation_,
+                settings_.fleet_secrets},
+      store_(loop, settings_.store),
+      store_contact_(settings_.vm, incarnation_),
+      parse_([this](uint64_t generation, const SectionTexts& texts) {
+        return section_parser_.Parse(generation, texts);
+      }),
+      replica_(parse_),
+      store_sync_(&store_, &replica_, &store_contact_, &store_budget_,
+                  &random_),
+      withdrawal_writer_(&store_, &store_budget_, &random_,
+                         [this](const std::set<Digest>& read) {
+                           AddWithdrawals({read.begin(), read.end()}, "");
+                         }),
+      detector_(settings_.vm, incarnation_, seed_),
+      links_(loop, identity_, seed_),
+      ledger_(settings_.vm, incarnation_, EventLoop::Now()),
+      claim_ledger_(incarnation_),
+      claim_client_({settings_.vm, incarnation_}, &claim_ledger_),
+      upstream_client_(loop, {}),
+      lookup_({&settings_, &detector_.roster(), &claim_ledger_, &metrics_,
+               [this] { return is_leaving(); }}),
+      proxy_({loop, &settings_, &upstream_client_, &ledger_, &withdrawals_,
+              &claim_client_, &crash_guard_, &metrics_,
+              [this](TimePoint now) { return store_contact_.Age(now); },
+              [this] { FlushLedger(); }, [this] { FlushClaims(); },
+              [this](const std::vector<wire::CrashSuspicionT>& suspicions) {
+                Flood(suspicions, "");
+              }},
+             incarnation_, seed_),
+      operator_api_(
+          {&settings_, &replica_, &store_, &store_budget_, &random_, parse_,
+           &store_contact_, &detector_.roster(), &withdrawals_,
+           &peer_withdrawals_, &proxy_, &lookup_,
+           [this] { return view_.get(); },
+           [this](const Digest& digest) { AddWithdrawals({digest}, ""); },
+           [this] { return is_leaving(); }}),
+      caller_server_(loop, {},
+                     [this](const std::shared_ptr<HttpExchange>& exchange) {
+                       HandleCaller(exchange);
+                     }),
+      operator_server_(loop, {.max_body_bytes = kMaxOperatorBody},
+                       [this](const std::shared_ptr<HttpExchange>& exchange) {
+                         operator_api_.Handle(exchange);
+                       }) {
+  replica_.set_on_adopted([this](const std::shared_ptr<const Config>& config) {
+    AdoptConfig(config, EventLoop::Now());
+  });
+  detector_.set_fill([this](wire::HeartbeatT* heartbeat, TimePoint now) {
+    FillHeartbeat(heartbeat, now);
+  });
+  ConnectLinks();
+  AddMetrics();
+}
+
+Node::~Node() = default;
+
+Result<void> Node::Start() {
+  // The peer port first: others take a refused connection there as proof that
+  // no process with this identity runs.
+  for (const auto& bound :
+       {links_.Listen(settings_.address, settings_.peer_port),
+        caller_server_.Listen(settings_.address, settings_.caller_port),
+        operator_server_.Listen(settings_.address, settings_.operator_port)}) {
+    if (!bound) return tl::unexpected<Error>(bound.error());
+  }
+  UpdateLinks();
+  fast_timer_ = loop_->Every(kFastTick, [this] { FastTick(); });
+  slow_timer_ = loop_->Every(kSlowTick, [this] { SlowTick(); });
+  Log(LogLevel::kInfo, "started", "vm={} zone={} incarnation={:x} seed={}",
+      settings_.vm, settings_.zone, incarnation_, seed_);
+  return {};
+}
+
+void Node::ConnectLinks() {
+  links_.signal_up.connect([this](const std::string& vm, uint64_t incarnation) {
+    HandleLinkUp(vm, incarnation);
+  });
+  links_.signal_down.connect([this](const std::string& vm, bool refused) {
+    HandleLinkDown(vm, refused);
+  });
+  links_.signal_message.connect(
+      [this](const std::string& vm, const wire::MessageT& message) {
+        HandlePeerMessage(vm, message);
+      });
+  links_.signal_probed.connect(
+      [this](const std::string& vm, std::error_code ec, TimePoint begun_at) {
+        HandleProbed(vm, ec, begun_at);
+      });
+}
+
+const std::vector<Node::MessageHandler>& Node::MessageHandlers() {
+  static const std::vector<MessageHandler> kHandlers = {
+      {wire::Body::Heartbeat, &Node::OnHeartbeat},
+      {wire::Body::HeartbeatAck, &Node::OnHeartbeatAck},
+      {wire::Body::Probe, &Node::OnProbe},
+      {wire::Body::ProbeReply, &Node::OnProbeReply},
+      {wire::Body::LoanRequest, &Node::OnLoanRequest},
+      {wire::Body::LoanGrant, &Node::OnLoanGrant},
+      {wire::Body::LoanReturn, &Node::OnLoanReturn},
+      {wire::Body::ClaimRequest, &Node::OnClaimRequest},
+      {wire::Body::ClaimReply, &Node::OnClaimReply},
+      {wire::Body::ClaimResult, &Node::OnClaimResult},
+      {wire::Body::Withdrawals, &Node::OnWithdrawals},
+      {wire::Body::WithdrawalsPull, &Node::OnWithdrawalsPull},
+      {wire::Body::CrashSuspicion, &Node::OnCrashSuspicion},
+      {wire::Body::ConfigPull, &Node::OnConfigPull},
+      {wire::Body::ConfigPush, &Node::OnConfigPush},
+  };
+  return kHandlers;
+}
+
+void Node::HandlePeerMessage(const std::string& peer,
+                             const wire::MessageT& message) {
+  for (const MessageHandler& it : MessageHandlers()) {
+    if (it.type != message.body.type) continue;
+    (this->*it.handle)(peer, message.body, EventLoop::Now());
+    return;
+  }
+}
+
+template <typename T>
+void Node::Send(const std::string& peer, T message) {
+  wire::BodyUnion body;
+  body.Set(std::move(message));
+  links_.Send(peer, std::move(body));
+}
+
+void Node::SendAll(std::vector<MemberMessage> messages) {
+  for (MemberMessage& it : messages) links_.Send(it.peer, std::move(it.body));
+}
+
+void Node::SendAll(std::vector<ReplicaMessage> messages) {
+  for (ReplicaMessage& it : messages) links_.Send(it.peer, std::move(it.body));
+}
+
+void Node::OnHeartbeat(const std::string& peer, const wire::BodyUnion& body,
+                       TimePoint now) {
+  const wire::HeartbeatT& heartbeat = *body.AsHeartbeat();
+  SendAll(detector_.OnHeartbeat(peer, heartbeat, now));
+  store_contact_.OnHeartbeat(heartbeat, now);
+  ledger_.SetConfirmed(peer, heartbeat.share_generation, now);
+  peer_withdrawals_[peer] = heartbeat.withdrawal_digest;
+  if (heartbeat.withdrawal_digest != withdrawals_.set_digest()) {
+    TimePoint& sent = withdrawals_sent_[peer];
+    if (now - sent >= kWithdrawalExchange) {
+      sent = now;
+      SendWithdrawals(peer, withdrawals_.All());
+      Send(peer, wire::WithdrawalsPullT());
+    }
+  }
+  SendAll(replica_.OnAnnouncement(peer, heartbeat.generation,
+                                  heartbeat.config_digest, now));
+  HandleMemberEvents(now);
+}
+
+void Node::OnHeartbeatAck(const std::string& peer, const wire::BodyUnion& body,
+                          TimePoint now) {
+  detector_.OnAck(peer, *body.AsHeartbeatAck(), now);
+}
+
+void Node::OnProbe(const std::string& peer, const wire::BodyUnion& body,
+                   TimePoint now) {
+  SendAll(detector_.OnProbe(peer, *body.AsProbe(), now));
+}
+
+void Node::OnProbeReply(const std::string& peer, const wire::BodyUnion& body,
+                        TimePoint now) {
+  detector_.OnProbeReply(peer, *body.AsProbeReply(), now);
+}
+
+void Node::OnLoanRequest(const std::string& peer, const wire::BodyUnion& body,
+                         TimePoint now) {
+  Send(peer, ledger_.OnLoanRequest(peer, *body.AsLoanRequest(), now));
+}
+
+void Node::OnLoanGrant(const std::string& peer, const wire::BodyUnion& body,
+                       TimePoint now) {
+  ledger_.OnLoanGrant(peer, *body.AsLoanGrant(), now);
+  proxy_.OnLedgerChanged(now);
+}
+
+void Node::OnLoanReturn(const std::string& peer, const wire::BodyUnion& body,
+                        TimePoint now) {
+  ledger_.OnLoanReturn(peer, *body.AsLoanReturn(), now);
+  proxy_.OnLedgerChanged(now);
+}
+
+void Node::OnClaimRequest(const std::string& peer, const wire::BodyUnion& body,
+                          TimePoint now) {
+  const Member* member = detector_.roster().Find(peer);
+  const uint64_t incarnation = member == nullptr ? 0 : member->incarnation;
+  const VmProcess asker{peer, ProcessOf(incarnation) << kRefutationBits};
+  Send(peer, claim_ledger_.OnClaim(asker, *body.AsClaimRequest(), now,
+                                   EventLoop::WallNow()));
+}
+
+void Node::OnClaimReply(const std::string& peer, const wire::BodyUnion& body,
+                        TimePoint now) {
+  proxy_.OnClaimDecisions(
+      claim_client_.OnReply(peer, *body.AsClaimReply(), now));
+  FlushClaims();
+}
+
+void Node::OnClaimResult(const std::string&, const wire::BodyUnion& body,
+                         TimePoint now) {
+  claim_ledger_.OnResult(*body.AsClaimResult(), now);
+}
+
+void Node::OnWithdrawals(const std::string& peer, const wire::BodyUnion& body,
+                         TimePoint) {
+  AddWithdrawals(body.AsWithdrawals()->digests, peer);
+}
+
+void Node::OnWithdrawalsPull(const std::string& peer, const wire::BodyUnion&,
+                             TimePoint) {
+  SendWithdrawals(peer, withdrawals_.All());
+}
+
+void Node::OnCrashSuspicion(const std::string& peer,
+                            const wire::BodyUnion& body, TimePoint now) {
+  const wire::CrashSuspicionT& suspicion = *body.AsCrashSuspicion();
+  if (crash_guard_.OnMessage(suspicion, now)) Flood({suspicion}, peer);
+}
+
+void Node::OnConfigPull(const std::string& peer, const wire::BodyUnion& body,
+                        TimePoint) {
+  SendAll(replica_.OnPull(peer, *body.AsConfigPull()));
+}
+
+void Node::OnConfigPush(const std::string& peer, const wire::BodyUnion& body,
+                        TimePoint now) {
+  SendAll(replica_.OnPush(peer, *body.AsConfigPush(), now));
+}
+
+void Node::HandleLinkUp(const std::string& vm, uint64_t incarnation) {
+  const TimePoint now = EventLoop::Now();
+  detector_.OnLinkUp(vm, incarnation, now);
+  ledger_.OnPeerAccepted(vm, now);
+  HandleMemberEvents(now);
+}
+
+void Node::HandleLinkDown(const std::string& vm, bool refused) {
+  const TimePoint now = EventLoop::Now();
+  detector_.OnLinkDown(vm, refused, now);
+  replica_.OnLinkDown(vm);
+  proxy_.OnClaimDecisions(claim_client_.OnUnreachable(vm, now));
+  // A broken link may be a crash, which a refused connection proves.
+  if (!refused) links_.Probe(vm);
+  HandleMemberEvents(now);
+}
+
+void Node::HandleProbed(const std::string& vm, std::error_code ec,
+                        TimePoint begun_at) {
+  const TimePoint now = EventLoop::Now();
+  if (ec == NetErrc::kConnectRefused) {
+    ledger_.OnPeerRefused(vm, begun_at, now);
+    detector_.OnLinkDown(vm, /*refused=*/true, now);
+    HandleMemberEvents(now);
+  } else if (!ec) {
+    ledger_.OnPeerAccepted(vm, now);
+  }
+}
+
+void Node::HandleMemberEvents(TimePoint now) {
+  for (const MemberEvent& it : detector_.TakeEvents()) {
+    switch (it.kind) {
+      case MemberEventKind::kDead:
+      case MemberEventKind::kLeft:
+        claim_ledger_.OnPeerDead(
+            {it.vm, ProcessOf(it.incarnation) << kRefutationBits}, now);
+        break;
+      case MemberEventKind::kSuperseded:
+        ledger_.SetOwnShareAllowed(false, now);
+        break;
+      default:
+        break;
+    }
+    Log(LogLevel::kInfo, "member", "vm={} event={} incarnation={:x}", it.vm,
+        MemberEventName(it.kind), it.incarnation);
+  }
+}
+
+void Node::FillHeartbeat(wire::HeartbeatT* heartbeat, TimePoint now) {
+  heartbeat->generation = replica_.generation();
+  heartbeat->config_digest = replica_.digest();
+  heartbeat->withdrawal_digest = withdrawals_.set_digest();
+  heartbeat->ready = IsReady();
+  heartbeat->leaving = is_leaving();
+  heartbeat->share_generation = ledger_.ConfirmedGeneration(now);
+  store_contact_.Fill(heartbeat, now);
+}
+
+void Node::AdoptConfig(const std::shared_ptr<const Config>& config,
+                       TimePoint now) {
+  const bool was_ready = IsReady();
+  view_ = std::make_shared<const ServingView>(config);
+  ledger_.ApplyConfig(*config, now);
+  detector_.SetConfig(*config, now);
+  UpdateLinks();
+  AddWithdrawals(config->withdrawn_keys, "");
+  proxy_.SetView(view_, now);
+  detector_.Announce(now);
+  Log(LogLevel::kInfo, "config_adopted", "generation={} digest={}",
+      config->generation, ToHex(replica_.digest()));
+  if (!was_ready && IsReady()) Log(LogLevel::kInfo, "ready");
+}
+
+void Node::UpdateLinks() {
+  std::vector<PeerAddress> peers = settings_.seed_peers;
+  if (view_ != nullptr) {
+    peers.clear();
+    for (const EntryVm& it : view_->config().entry_vms) {
+      if (!it.retired) peers.push_back({it.id, it.address, it.peer_port});
+    }
+  }
+  links_.SetAddresses(peers);
+  std::vector<std::string> wanted;
+  if (view_ != nullptr) {
+    wanted = detector_.WantedLinks();
+  } else {
+    for (const PeerAddress& it : peers) wanted.push_back(it.vm);
+  }
+  links_.SetWanted(wanted);
+}
+
+void Node::AddWithdrawals(const std::vector<Digest>& digests,
+                          const std::string& from) {
+  const std::vector<Digest> added = withdrawals_.Merge(digests);
+  if (added.empty()) return;
+  Log(LogLevel::kInfo, "keys_withdrawn", "count={} total={}", added.size(),
+      withdrawals_.size());
+  for (const Digest& it : added) withdrawal_writer_.Add(it);
+  for (const std::string& peer : links_.linked()) {
+    if (peer != from) SendWithdrawals(peer, added);
+  }
+  detector_.Announce(EventLoop::Now());
+}
+
+void Node::SendWithdrawals(const std::string& peer,
+                           const std::vector<Digest>& digests) {
+  for (size_t i = 0; i < digests.size(); i += kWithdrawalsPerMessage) {
+    const size_t end = std::min(digests.size(), i + kWithdrawalsPerMessage);
+    wire::WithdrawalsT message;
+    message.digests.assign(digests.begin() + static_cast<ptrdiff_t>(i),
+                           digests.begin() + static_cast<ptrdiff_t>(end));
+    Send(peer, std::move(message));
+  }
+}
+
+void Node::FlushLedger() {
+  const TimePoint now = EventLoop::Now();
+  for (LoanMessages& it : ledger_.Tick(now)) {
+    if (it.request != nullptr) Send(it.peer, std::move(*it.request));
+    if (it.give_back != nullptr) Send(it.peer, std::move(*it.give_back));
+  }
+  for (const std::string& vm : ledger_.VmsToProbe(now)) links_.Probe(vm);
+}
+
+void Node::FlushClaims() {
+  for (ClaimMessage& it : claim_client_.TakeOutbox()) {
+    std::visit([&](auto& message) { Send(it.vm, std::move(message)); },
+               it.body);
+  }
+}
+
+void Node::Flood(const std::vector<wire::CrashSuspicionT>& suspicions,
+                 const std::string& from) {
+  for (const std::string& peer : links_.linked()) {
+    if (peer == from) continue;
+    for (const wire::CrashSuspicionT& it : suspicions) Send(peer, it);
+  }
+}
+
+void Node::FastTick() {
+  const TimePoint now = EventLoop::Now();
+  FlushLedger();
+  proxy_.OnClaimDecisions(claim_client_.OnTick(now));
+  FlushClaims();
+  proxy_.Tick(now);
+}
+
+void Node::SlowTick() {
+  const TimePoint now = EventLoop::Now();
+  SendAll(detector_.Tick(now));
+  HandleMemberEvents(now);
+  if (view_ != nullptr) links_.SetWanted(detector_.WantedLinks());
+  const std::vector<std::string> live =
+      detector_.roster().LiveInZone(settings_.zone, settings_.vm);
+  // Without a configuration there is no roster: ask the store at once.
+  store_sync_.SetWatcher(view_ == nullptr ||
+                         IsStoreWatcher(settings_.zone, settings_.vm, live));
+  store_sync_.Tick(now);
+  SendAll(replica_.Tick(now));
+  withdrawal_writer_.Tick(now);
+  claim_ledger_.OnTick(now, EventLoop::WallNow());
+  crash_guard_.OnTick(now);
+  operator_api_.Tick(now);
+  TickStop(now);
+}
+
+void Node::HandleCaller(const std::shared_ptr<HttpExchange>& exchange) {
+  const HttpRequest& request = exchange->request();
+  if (request.path == "/v1/lookup") {
+    exchange->Respond(
+        lookup_.Answer(view_.get(), request, EventLoop::WallNow()));
+  } else if (request.path == "/health") {
+    exchange->Respond(JsonResponse(200, R"({"status":"alive"})"));
+  } else if (request.path == "/ready") {
+    exchange->Respond(JsonResponse(
+        IsReady() ? 200 : 503, fmt::format(R"({{"ready":{},"generation":{}}})",
+                                           IsReady(), replica_.generation())));
+  } else if (request.path == "/metrics") {
+    HttpResponse response;
+    response.status = 200;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = metrics_.Collect();
+    exchange->Respond(response);
+  } else {
+    proxy_.Handle(exchange);
+  }
+}
+
+void Node::BeginStop() {
+  if (is_leaving()) return;
+  const TimePoint now = EventLoop::Now();
+  stop_phase_ = StopPhase::kLeaving;
+  const Duration ttl =
+      view_ == nullptr ? Duration::zero() : view_->config().limits.lookup_ttl;
+  stop_at_ = now + ttl + (view_ == nullptr ? Duration::zero() : kStopMargin);
+  detector_.BeginLeaving(now);
+  caller_server_.CloseAfterAnswers();
+  Log(LogLevel::kInfo, "stopping", "serves_for_ms={}",
+      ToMillis(stop_at_ - now));
+}
+
+void Node::TickStop(TimePoint now) {
+  if (stop_phase_ == StopPhase::kLeaving && now >= stop_at_) {
+    stop_phase_ = StopPhase::kFinishing;
+    caller_server_.StopListening();
+  }
+  if (stop_phase_ == StopPhase::kFinishing &&
+      caller_server_.open_exchanges() == 0) {
+    stop_phase_ = StopPhase::kStopped;
+    SendAll(detector_.Leave(now));
+    Log(LogLevel::kInfo, "stopped");
+    // The loop goes on for a moment, so that the last messages leave.
+    slow_timer_ = loop_->After(kSlowTick, [this] { loop_->Stop(); });
+  }
+}
+
+void Node::AddMetrics() {
+  const auto add = [this](const char* name, const char* help, auto read) {
+    metrics_.AddValue(name, help,
+                      [read] { return static_cast<double>(read()); });
+  };
+  add("rwf_config_generation", "Generation in force",
+      [this] { return replica_.generation(); });
+  add("rwf_open_requests", "Requests not answered yet",
+      [this] { return proxy_.open_requests(); });
+  add("rwf_queued_requests", "Requests that wait for a slot",
+      [this] { return proxy_.queued_requests(); });
+  add("rwf_admitted_total", "Requests admitted by rate",
+      [this] { return ledger_.counters().admitted; });
+  add("rwf_rate_refused_total", "Admissions refused by rate",
+      [this] { return ledger_.counters().refused; });
+  add("rwf_loans_lent_total", "Loans granted to peers",
+      [this] { return ledger_.counters().items_lent; });
+  add("rwf_loans_borrowed_total", "Loans taken from peers",
+      [this] { return ledger_.counters().items_borrowed; });
+  add("rwf_inherited_total", "Times the share of a dead VM came into use",
+      [this] { return ledger_.counters().inherited; });
+  add("rwf_claims", "Claims held", [this] { return claim_ledger_.size(); });
+  add("rwf_crash_suspicions", "Fingerprints under suspicion",
+      [this] { return crash_guard_.size(); });
+  add("rwf_withdrawn_keys", "Withdrawn keys known",
+      [this] { return withdrawals_.size(); });
+  add("rwf_peer_links", "Links to other entry VMs",
+      [this] { return links_.linked().size(); });
+  add("rwf_peer_links_refused_total", "Links refused: secret, frame or version",
+      [this] { return links_.counters().links_refused; });
+  add("rwf_peer_bytes_total", "Bytes exchanged with other entry VMs",
+      [this] { return links_.total_bytes(); });
+  add("rwf_peer_messages_sent_total", "Messages to other entry VMs",
+      [this] { return links_.counters().messages_sent; });
+  add("rwf_member_deaths_total", "VMs found dead",
+      [this] { return detector_.counters().deaths; });
+  add("rwf_member_duplicates_total", "Second processes seen under one identity",
+      [this] { return detector_.counters().duplicates; });
+  add("rwf_store_calls_total", "Calls to the store",
+      [this] { return store_budget_.taken(); });
+  add("rwf_store_contact_age_seconds", "Time since the store answered, or -1",
+      [this] {
+        const Duration age = store_contact_.Age(EventLoop::Now());
+        return age == Duration::max() ? -1.0 : ToSeconds(age);
+      });
+  add("rwf_config_refused_total", "Copies of a configuration refused", [this] {
+    const auto& counters = replica_.counters();
+    return counters.conflicting_digests + counters.bad_manifests +
+           counters.bad_sections + counters.invalid_configs;
+  });
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/operator_api.cc
@@ -0,0 +1,388 @@
+#include "entry/operator_api.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/digest.h"
+#include "config/parser.h"
+#include "config/sections.h"
+
+namespace rwf {
+namespace {
+
+// How long a withdrawal waits for the confirmation of all VMs.
+constexpr Duration kWithdrawalWait = std::chrono::seconds(3);
+constexpr size_t kHistoryPage = 200;
+
+const char* OutcomeName(ChangeOutcome outcome) {
+  switch (outcome) {
+    case ChangeOutcome::kAccepted:
+      return "accepted";
+    case ChangeOutcome::kRejected:
+      return "rejected";
+    case ChangeOutcome::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+const char* StateName(wire::PeerState state) {
+  switch (state) {
+    case wire::PeerState::kAlive:
+      return "alive";
+    case wire::PeerState::kSuspect:
+      return "suspect";
+    case wire::PeerState::kDead:
+      return "dead";
+    case wire::PeerState::kLeft:
+      return "left";
+  }
+  return "";
+}
+
+void RespondError(const std::shared_ptr<HttpExchange>& exchange, int status,
+                  const std::string& message) {
+  exchange->Respond(JsonResponse(status, Json{{"error", message}}.dump()));
+}
+
+void RespondStoreError(const std::shared_ptr<HttpExchange>& exchange,
+                       const Error& error) {
+  RespondError(exchange, 503, error.message);
+}
+
+// An audit record as JSON; a text that is none is shown as it is.
+Json RecordJson(const std::string& text) {
+  Json parsed = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  return parsed.is_discarded() ? Json(text) : parsed;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(Parts parts) : parts_(std::move(parts)) {}
+
+OperatorApi::~OperatorApi() = default;
+
+const std::vector<OperatorApi::Endpoint>& OperatorApi::Endpoints() {
+  static const std::vector<Endpoint> kEndpoints = {
+      {"GET", "/v1/config", &OperatorApi::GetConfig},
+      {"POST", "/v1/config", &OperatorApi::PostConfig},
+      {"GET", "/v1/operations/", &OperatorApi::GetOperation},
+      {"GET", "/v1/history", &OperatorApi::GetHistory},
+      {"POST", "/v1/keys/withdraw", &OperatorApi::PostWithdraw},
+      {"GET", "/v1/status", &OperatorApi::GetStatus},
+      {"GET", "/v1/explain", &OperatorApi::GetExplain},
+  };
+  return kEndpoints;
+}
+
+void OperatorApi::Handle(const Exchange& exchange) {
+  const HttpRequest& request = exchange->request();
+  if (!ConstantTimeEqual(request.headers.Get("Authorization"),
+                         "Bearer " + parts_.settings->operator_token)) {
+    RespondError(exchange, 401, "the operator token is missing or wrong");
+    return;
+  }
+  bool is_path_known = false;
+  for (const Endpoint& it : Endpoints()) {
+    const std::string_view path = it.path;
+    const bool matches = path.ends_with('/') ? request.path.starts_with(path)
+                                             : request.path == path;
+    if (!matches) continue;
+    is_path_known = true;
+    if (request.method != it.method) continue;
+    (this->*it.handle)(exchange);
+    return;
+  }
+  RespondError(exchange, is_path_known ? 405 : 404,
+               fmt::format("no endpoint {} {}", request.method, request.path));
+}
+
+void OperatorApi::GetConfig(const Exchange& exchange) {
+  const ConfigReplica& replica = *parts_.replica;
+  if (replica.current() == nullptr) {
+    exchange->Respond(JsonResponse(
+        200,
+        Json{{"generation", 0}, {"digest", ""}, {"config", nullptr}}.dump()));
+    return;
+  }
+  exchange->Respond(
+      JsonResponse(200, Json{{"generation", replica.generation()},
+                             {"digest", ToHex(replica.digest())},
+                             {"config", ConfigToJson(*replica.current())}}
+                            .dump()));
+}
+
+void OperatorApi::PostConfig(const Exchange& exchange) {
+  const auto body = ParseJson(exchange->request().body, "request");
+  if (!body) {
+    RespondError(exchange, 400, body.error().message);
+    return;
+  }
+  std::vector<JsonProblem> problems;
+  JsonReader reader(*body, "", &problems);
+  ChangeRequest change;
+  change.from_generation = static_cast<uint64_t>(
+      reader.Integer("expected_generation", 0, INT64_MAX - 1));
+  change.operation_id = reader.String("operation_id");
+  change.who = reader.String("who");
+  change.action = reader.String("action");
+  change.when = EventLoop::WallNow();
+  reader.Boolean("force", false);
+  reader.Object("config");
+  reader.Finish();
+  if (!problems.empty()) {
+    RespondError(exchange, 400, FormatProblems(problems));
+    return;
+  }
+  Json document = body->at("config");
+  document["generation"] = change.from_generation + 1;
+  const std::shared_ptr<const Config> config = ReadConfig(document, &problems);
+  if (config == nullptr || !problems.empty()) {
+    RespondError(exchange, 400, FormatProblems(problems));
+    return;
+  }
+  const auto sections = CutSections(*config);
+  if (!sections) {
+    RespondError(exchange, 400, sections.error().message);
+    return;
+  }
+  for (const Section& it : *sections) change.sections[it.name] = it.text;
+  StartChange(exchange, std::move(change));
+}
+
+void OperatorApi::StartChange(const Exchange& exchange, ChangeRequest request) {
+  const std::string operation_id = request.operation_id;
+  writers_.push_back(std::make_unique<ConfigWriter>(
+      parts_.store, parts_.budget, parts_.random, parts_.parse,
+      std::move(request), [exchange, operation_id](const ChangeResult& result) {
+        const int status =
+            result.outcome == ChangeOutcome::kRejected ? 409 : 200;
+        exchange->Respond(
+            JsonResponse(status, Json{{"result", OutcomeName(result.outcome)},
+                                      {"generation", result.generation},
+                                      {"digest", ToHex(result.digest)},
+                                      {"operation_id", operation_id},
+                                      {"audit_pending", result.audit_pending},
+                                      {"message", result.message}}
+                                     .dump()));
+      }));
+  writers_.back()->Start(EventLoop::Now());
+}
+
+void OperatorApi::GetOperation(const Exchange& exchange) {
+  static constexpr std::string_view kPath = "/v1/operations/";
+  const std::string id = exchange->request().path.substr(kPath.size());
+  const auto answer = [exchange, id](const char* result, uint64_t generation) {
+    exchange->Respond(JsonResponse(200, Json{{"operation_id", id},
+                                             {"result", result},
+                                             {"generation", generation}}
+                                            .dump()));
+  };
+  parts_.store->Get(RejectedKey(id), [this, exchange, id, answer](
+                                         const Result<StoreValue>& rejected,
+                                         TimePoint) {
+    if (!rejected) return RespondStoreError(exchange, rejected.error());
+    if (rejected->version != 0) return answer("rejected", 0);
+    const uint64_t generation = parts_.replica->generation();
+    const std::string after =
+        generation > kHistoryPage ? AuditKey(generation - kHistoryPage) : "";
+    parts_.store->List(
+        "audit/", after, kHistoryPage,
+        [exchange, id, answer](const Result<StorePage>& page, TimePoint) {
+          if (!page) return RespondStoreError(exchange, page.error());
+          for (const StoreEntry& it : page->entries) {
+            const auto record = ParseAuditRecord(it.value.value);
+            if (!record || record->operation_id != id) continue;
+            return answer("accepted", record->generation());
+          }
+          return answer("unknown", 0);
+        });
+  });
+}
+
+void OperatorApi::GetHistory(const Exchange& exchange) {
+  const std::string text = exchange->request().QueryValue("limit");
+  uint64_t limit = kHistoryPage;
+  if (!text.empty() &&
+      std::from_chars(text.data(), text.data() + text.size(), limit).ec !=
+          std::errc()) {
+    RespondError(exchange, 400, "limit must be a whole number");
+    return;
+  }
+  const uint64_t generation = parts_.replica->generation();
+  const std::string after =
+      generation > limit ? AuditKey(generation - limit) : "";
+  parts_.store->List("audit/", after, std::min<size_t>(limit, kHistoryPage),
+                     [exchange](const Result<StorePage>& page, TimePoint) {
+                       if (!page)
+                         return RespondStoreError(exchange, page.error());
+                       Json records = Json::array();
+                       for (const StoreEntry& it : page->entries) {
+                         records.push_back(RecordJson(it.value.value));
+                       }
+                       exchange->Respond(JsonResponse(
+                           200, Json{{"records", std::move(records)}}.dump()));
+                     });
+}
+
+void OperatorApi::PostWithdraw(const Exchange& exchange) {
+  const auto body = ParseJson(exchange->request().body, "request");
+  if (!body) {
+    RespondError(exchange, 400, body.error().message);
+    return;
+  }
+  std::vector<JsonProblem> problems;
+  JsonReader reader(*body, "", &problems);
+  const std::string text = reader.String("digest");
+  reader.String("who", "");
+  reader.String("operation_id", "");
+  reader.Finish();
+  Digest digest;
+  if (!FromHex(text, &digest)) {
+    reader.AddProblem("digest", "expected 64 hexadecimal characters");
+  }
+  if (!problems.empty()) {
+    RespondError(exchange, 400, FormatProblems(problems));
+    return;
+  }
+  parts_.withdraw(digest);
+  withdrawals_.push_back({exchange, EventLoop::Now() + kWithdrawalWait});
+}
+
+Json OperatorApi::WithdrawalStatus(bool* all_confirmed) const {
+  *all_confirmed = true;
+  Json out = Json::array();
+  const ServingView* view = parts_.view();
+  if (view == nullptr) return out;
+  for (const EntryVm& vm : view->config().entry_vms) {
+    if (vm.retired) continue;
+    bool confirmed = vm.id == parts_.settings->vm;
+    if (!confirmed) {
+      const auto it = parts_.peer_withdrawals->find(vm.id);
+      const Member* member = parts_.roster->Find(vm.id);
+      confirmed = it != parts_.peer_withdrawals->end() && member != nullptr &&
+                  member->IsLive() &&
+                  it->second == parts_.withdrawals->set_digest();
+    }
+    if (!confirmed) *all_confirmed = false;
+    out.push_back({{"id", vm.id}, {"zone", vm.zone}, {"confirmed", confirmed}});
+  }
+  return out;
+}
+
+void OperatorApi::TickWithdrawals(TimePoint now) {
+  if (withdrawals_.empty()) return;
+  bool all_confirmed = false;
+  const Json vms = WithdrawalStatus(&all_confirmed);
+  std::erase_if(withdrawals_, [&](const Withdrawal& it) {
+    if (!all_confirmed && now < it.until) return false;
+    it.exchange->Respond(JsonResponse(
+        200, Json{{"vms", vms}, {"all_confirmed", all_confirmed}}.dump()));
+    return true;
+  });
+}
+
+void OperatorApi::GetStatus(const Exchange& exchange) {
+  const TimePoint now = EventLoop::Now();
+  Json vms = Json::array();
+  const auto age_ms = [](Duration age) {
+    return age == Duration::max() ? -1 : ToMillis(age);
+  };
+  if (const ServingView* view = parts_.view(); view != nullptr) {
+    for (const EntryVm& vm : view->config().entry_vms) {
+      const bool is_self = vm.id == parts_.settings->vm;
+      const Member* member = parts_.roster->Find(vm.id);
+      const bool is_known =
+          is_self || (member != nullptr && member->incarnation != 0);
+      Json row = {{"id", vm.id}, {"zone", vm.zone}};
+      row["state"] = vm.retired ? "retired"
+                     : is_self  ? "alive"
+                     : is_known ? StateName(member->state)
+                                : "unknown";
+      row["generation"] = is_self    ? parts_.replica->generation()
+                          : is_known ? member->generation
+                                     : 0;
+      row["leaving"] =
+          is_self ? parts_.is_leaving() : is_known && member->leaving;
+      row["ready"] =
+          is_known && !row["leaving"].get<bool>() && row["state"] == "alive";
+      if (is_self) {
+        row["store_contact_age_ms"] = age_ms(parts_.contact->Age(now));
+      } else {
+        row["news_age_ms"] = is_known ? ToMillis(now - member->last_news) : -1;
+      }
+      vms.push_back(std::move(row));
+    }
+  }
+  exchange->Respond(
+      JsonResponse(200, Json{{"vm", parts_.settings->vm},
+                             {"generation", parts_.replica->generation()},
+                             {"digest", ToHex(parts_.replica->digest())},
+                             {"vms", std::move(vms)}}
+                            .dump()));
+}
+
+void OperatorApi::GetExplain(const Exchange& exchange) {
+  const ServingView* view = parts_.view();
+  if (view == nullptr) {
+    RespondError(exchange, 503, "no configuration is in force yet");
+    return;
+  }
+  const HttpRequest& request = exchange->request();
+  const std::string service = request.QueryValue("service");
+  ServiceState* state = parts_.proxy->FindService(service);
+  if (state == nullptr || view->config().FindService(service) == nullptr) {
+    RespondError(exchange, 404, fmt::format("no service \"{}\"", service));
+    return;
+  }
+  uint32_t client = 0;
+  const std::string client_text = request.QueryValue("client");
+  if (!ParseIpv4(client_text, &client)) {
+    RespondError(exchange, 400, "client must be an IPv4 address");
+    return;
+  }
+  const Config& config = view->config();
+  Json entries = Json::array();
+  for (const EntryChoice& it : view->entries().Select(
+           client, service,
+           [&](size_t vm) { return parts_.lookup->IsUsable(config, vm); })) {
+    entries.push_back({{"id", config.entry_vms[it.vm].id},
+                       {"zone", config.entry_vms[it.vm].zone},
+                       {"tier", TierName(it.tier)},
+                       {"weight", it.weight}});
+  }
+  Json upstreams = Json::array();
+  for (const Candidate& it : state->Explain(EventLoop::Now())) {
+    upstreams.push_back({{"id", it.id},
+                         {"tier", TierName(it.tier)},
+                         {"state", CandidateStateName(it.state)},
+                         {"in_flight", it.in_flight},
+                         {"score", it.score},
+                         {"latency_ms", ToSeconds(it.latency) * 1000},
+                         {"report_is_fresh", it.report_is_fresh},
+                         {"retry_after_ms", ToMillis(it.retry_after)}});
+  }
+  const size_t zone = view->entries().ZoneOf(client, service);
+  const std::string reason =
+      zone == Topology::kNone
+          ? "no zone is known for the client"
+          : fmt::format(
+                "client {} is steered to zone {} at generation {}; "
+                "upstreams as seen from {}",
+                client_text, view->entries().topology().zone_name(zone),
+                config.generation, parts_.settings->vm);
+  exchange->Respond(JsonResponse(200, Json{{"entry_vms", std::move(entries)},
+                                           {"upstreams", std::move(upstreams)},
+                                           {"reason", reason}}
+                                          .dump()));
+}
+
+void OperatorApi::Tick(TimePoint now) {
+  for (const auto& it : writers_) it->Tick(now);
+  std::erase_if(writers_, [](const auto& it) { return it->finished(); });
+  TickWithdrawals(now);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/operator_api.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/json_reader.h"
+#include "entry/lookup.h"
+#include "entry/proxy.h"
+#include "entry/serving_view.h"
+#include "entry/settings.h"
+#include "membership/roster.h"
+#include "net/http_server.h"
+#include "replica/config_replica.h"
+#include "replica/config_writer.h"
+#include "replica/store_sync.h"
+
+namespace rwf {
+
+// The operators' endpoint of an entry VM, as docs/INTERFACES.md describes it.
+class OperatorApi {
+ public:
+  // All of it outlives the object.
+  struct Parts {
+    const Settings* settings;
+    ConfigReplica* replica;
+    Store* store;
+    CallBudget* budget;
+    Random* random;
+    ParseSections parse;
+    const StoreContact* contact;
+    const Roster* roster;
+    const WithdrawalSet* withdrawals;
+    // Digests of the withdrawal sets that peers last announced, by VM.
+    const std::map<std::string, Digest>* peer_withdrawals;
+    Proxy* proxy;
+    const Lookup* lookup;
+    std::function<const ServingView*()> view;
+    std::function<void(const Digest&)> withdraw;
+    std::function<bool()> is_leaving;
+  };
+
+  explicit OperatorApi(Parts parts);
+  ~OperatorApi();
+
+  void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  // Called every 50 ms: changes under way.
+  void Tick(TimePoint now);
+
+ private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  struct Endpoint {
+    const char* method;
+    const char* path;  // a trailing '/' matches what follows it
+    void (OperatorApi::*handle)(const Exchange& exchange);
+  };
+  struct Withdrawal {
+    Exchange exchange;
+    TimePoint until;
+  };
+
+  static const std::vector<Endpoint>& Endpoints();
+  void GetConfig(const Exchange& exchange);
+  void PostConfig(const Exchange& exchange);
+  void GetOperation(const Exchange& exchange);
+  void GetHistory(const Exchange& exchange);
+  void PostWithdraw(const Exchange& exchange);
+  void GetStatus(const Exchange& exchange);
+  void GetExplain(const Exchange& exchange);
+
+  void StartChange(const Exchange& exchange, ChangeRequest request);
+  // Confirmation by each VM of the present withdrawal set.
+  Json WithdrawalStatus(bool* all_confirmed) const;
+  void TickWithdrawals(TimePoint now);
+
+  Parts parts_;
+  std::vector<std::unique_ptr<ConfigWriter>> writers_;
+  std::vector<Withdrawal> withdrawals_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/proxy.cc
@@ -0,0 +1,634 @@
+#include "entry/proxy.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+
+#include "net/net_error.h"
+
+namespace rwf {
+namespace {
+
+// Headers that belong to one connection, and those that upstreams never see.
+constexpr std::array<const char*, 14> kNotForwarded = {"Connection",
+                                                       "Keep-Alive",
+                                                       "Proxy-Connection",
+                                                       "Transfer-Encoding",
+                                                       "TE",
+                                                       "Trailer",
+                                                       "Upgrade",
+                                                       "Expect",
+                                                       "Content-Length",
+                                                       "Host",
+                                                       "X-Api-Key",
+                                                       "Authorization",
+                                                       "X-Request-Id",
+                                                       "X-Client-Address"};
+
+constexpr std::array<const char*, 6> kNotReturned = {
+    "Connection", "Keep-Alive",     "Transfer-Encoding",
+    "Upgrade",    "Content-Length", "X-Request-Id"};
+
+HttpRequest ForwardedRequest(const HttpRequest& original,
+                             const std::string& workspace,
+                             const std::string& request_id, Duration left) {
+  HttpRequest out = original;
+  for (const char* it : kNotForwarded) out.headers.Remove(it);
+  out.headers.Set("X-Workspace", workspace);
+  out.headers.Set("X-Request-Timeout-Ms", fmt::format("{}", ToMillis(left)));
+  out.headers.Set("X-Request-Id", request_id);
+  return out;
+}
+
+HttpResponse ReturnedResponse(const HttpResponse& response) {
+  HttpResponse out = response;
+  for (const char* it : kNotReturned) out.headers.Remove(it);
+  out.headers.Set("X-Outcome", "ran");
+  return out;
+}
+
+HttpResponse ReplayedResponse(const wire::StoredOutcomeT& stored) {
+  HttpResponse out;
+  out.status = stored.status;
+  out.body.assign(stored.body.begin(), stored.body.end());
+  if (!stored.content_type.empty()) {
+    out.headers.Add("Content-Type", stored.content_type);
+  }
+  out.headers.Set("X-Outcome", "ran");
+  out.headers.Set("X-Replayed", "1");
+  return out;
+}
+
+AttemptFailure FailureOf(const HttpOutcome& outcome) {
+  if (outcome.ec == NetErrc::kDeadline) return AttemptFailure::kTimedOut;
+  if (!outcome.was_sent) return AttemptFailure::kConnectFailed;
+  if (outcome.ec == NetErrc::kBroken) return AttemptFailure::kBrokenMidway;
+  return AttemptFailure::kBadResponse;
+}
+
+}  // namespace
+
+Proxy::Proxy(Parts parts, uint64_t incarnation, uint64_t seed)
+    : parts_(std::move(parts)),
+      request_id_prefix_(
+          fmt::format("{}-{:x}-", parts_.settings->vm, incarnation)),
+      rng_(seed) {}
+
+Proxy::~Proxy() = default;
+
+void Proxy::SetView(std::shared_ptr<const ServingView> view, TimePoint now) {
+  view_ = std::move(view);
+  const Config& config = view_->config();
+  for (size_t i = 0; i < config.services.size(); ++i) {
+    std::unique_ptr<ServiceState>& state = services_[config.services[i].name];
+    if (state == nullptr) {
+      state = std::make_unique<ServiceState>(config, i, parts_.settings->zone,
+                                             parts_.ledger);
+      continue;
+    }
+    const std::vector<size_t> new_index = state->Reconfigure(config, i, now);
+    for (const auto& [id, request] : requests_) {
+      if (request->service != state.get()) continue;
+      if (request->avoid) {
+        request->avoid = new_index[*request->avoid];
+        if (*request->avoid == SIZE_MAX) request->avoid.reset();
+      }
+      if (request->slot) {
+        request->slot->instance = new_index[request->slot->instance];
+      }
+    }
+  }
+  for (const auto& [name, state] : services_) Dispatch(state.get(), now);
+}
+
+Proxy::Request* Proxy::Find(uint64_t id) {
+  const auto it = requests_.find(id);
+  return it == requests_.end() ? nullptr : it->second.get();
+}
+
+ServiceState* Proxy::FindService(const std::string& name) {
+  const auto it = services_.find(name);
+  return it == services_.end() ? nullptr : it->second.get();
+}
+
+size_t Proxy::queued_requests() const {
+  size_t n = 0;
+  for (const auto& [name, state] : services_) n += state->queue().size();
+  return n;
+}
+
+void Proxy::Handle(std::shared_ptr<HttpExchange> exchange) {
+  if (view_ == nullptr) {
+    exchange->Respond(RefusalResponse(Refusal::kNotReady, RunOutcome::kNotRun,
+                                      "no configuration is in force yet"));
+    return;
+  }
+  Admit(std::move(exchange));
+}
+
+void Proxy::Admit(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& http = exchange->request();
+  const auto match = view_->MatchRoute(http.method, http.path);
+  if (match.route == nullptr) {
+    parts_.metrics->CountRequest("", RefusalCode(Refusal::kRouteUnknown), {});
+    exchange->Respond(RefusalResponse(
+        Refusal::kRouteUnknown, RunOutcome::kNotRun,
+        fmt::format("no route for {} {}", http.method, http.path)));
+    return;
+  }
+  auto owned = std::make_unique<Request>();
+  Request* request = owned.get();
+  request->id = ++last_id_;
+  request->exchange = std::move(exchange);
+  request->service = FindService(view_->config().services[match.service].name);
+  request->route = *match.route;
+  request->arrived = EventLoop::Now();
+  requests_.emplace(request->id, std::move(owned));
+  request->exchange->OnCallerLeft(
+      [this, id = request->id] { HandleCallerLeft(id); });
+
+  if (!ReadDeadline(request) || !Authenticate(request)) return;
+  request->fingerprint =
+      CrashFingerprint(request->workspace_name, http.method,
+                       http.path + "?" + http.query, http.body);
+  if (request->route.idempotent) {
+    StartRate(request);
+  } else {
+    // The claim comes before the rate: once it is granted, no earlier attempt
+    // with this key ran, and a refusal may say so.
+    StartClaim(request);
+  }
+}
+
+bool Proxy::ReadDeadline(Request* request) {
+  const std::string& text =
+      request->exchange->request().headers.Get("X-Request-Timeout-Ms");
+  Duration timeout = request->route.max_timeout;
+  if (!text.empty()) {
+    int64_t ms = 0;
+    const auto [end, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (ec != std::errc() || end != text.data() + text.size() || ms <= 0) {
+      Refuse(request, Refusal::kBadRequest,
+             "X-Request-Timeout-Ms must be a positive whole number");
+      return false;
+    }
+    // Compared in milliseconds: a huge value would overflow nanoseconds.
+    if (ms < ToMillis(timeout)) timeout = std::chrono::milliseconds(ms);
+  }
+  request->deadline = request->arrived + timeout;
+  return true;
+}
+
+bool Proxy::Authenticate(Request* request) {
+  if (request->route.open) return true;
+  const std::string& key =
+      request->exchange->request().headers.Get("X-Api-Key");
+  if (key.empty()) {
+    Refuse(request, Refusal::kNoKey, "header X-Api-Key is missing");
+    return false;
+  }
+  const KeyLookup found = view_->keys().Lookup(key, *parts_.withdrawals);
+  if (found.verdict != KeyVerdict::kValid) {
+    const bool is_withdrawn = found.verdict == KeyVerdict::kWithdrawn;
+    Refuse(request,
+           is_withdrawn ? Refusal::kKeyWithdrawn : Refusal::kKeyUnknown,
+           is_withdrawn ? "the key was withdrawn" : "the key is not known");
+    return false;
+  }
+  if (!KeysAreFresh(request->route, parts_.contact_age(request->arrived))) {
+    Refuse(request, Refusal::kStaleKeys,
+           "withdrawals of keys cannot be learned here at present");
+    return false;
+  }
+  const Workspace& workspace = view_->config().workspaces[found.workspace];
+  request->workspace = found.workspace;
+  request->workspace_name = workspace.name;
+  request->key_digest = found.digest;
+  request->rate =
+      parts_.ledger->Find(wire::ResourceKind::kWorkspaceRate, workspace.name);
+  return true;
+}
+
+void Proxy::StartClaim(Request* request) {
+  const HttpRequest& http = request->exchange->request();
+  const std::string& text = http.headers.Get("Idempotency-Key");
+  if (text.empty()) {
+    Refuse(request, Refusal::kIdempotencyKeyRequired,
+           "header Idempotency-Key is missing: the prefix of a look-up answer, "
+           "a dot, and a text of the caller's own");
+    return;
+  }
+  const WallTime wall = EventLoop::WallNow();
+  const auto key =
+      IdempotencyKey::Parse(text, parts_.settings->fleet_secrets, wall);
+  request->stage = Stage::kClaim;
+  if (!key) {
+    ApplyClaim(request, ClaimClient::RefuseKey(key.error().code));
+    return;
+  }
+  const ClaimDecision decision = parts_.claims->Begin(
+      *key, ClaimDigest(request->workspace_name, text),
+      RequestDigest(http.method, http.path + "?" + http.query, http.body),
+      request->deadline, request->arrived, wall);
+  if (decision.action == ClaimAction::kWait) {
+    request->claim_request_id = decision.request_id;
+    by_claim_[decision.request_id] = request->id;
+    parts_.flush_claims();
+    return;
+  }
+  ApplyClaim(request, decision);
+  parts_.flush_claims();
+}
+
+void Proxy::OnClaimDecisions(const std::vector<ClaimDecision>& decisions) {
+  for (const ClaimDecision& it : decisions) {
+    const auto found = by_claim_.find(it.request_id);
+    if (found == by_claim_.end()) continue;
+    Request* request = Find(found->second);
+    by_claim_.erase(found);
+    if (request != nullptr) ApplyClaim(request, it);
+  }
+}
+
+void Proxy::ApplyClaim(Request* request, const ClaimDecision& decision) {
+  switch (decision.action) {
+    case ClaimAction::kWait:
+      return;
+    case ClaimAction::kRun:
+      request->has_claim = true;
+      request->claim_request_id = decision.request_id;
+      StartRate(request);
+      return;
+    case ClaimAction::kReplay:
+      End(request, ReplayedResponse(decision.outcome), "replayed", nullptr);
+      return;
+    case ClaimAction::kRefuse:
+      End(request, RefusalResponse(decision.refusal, decision.run_outcome),
+          ClaimRefusalCode(decision.refusal), nullptr);
+      return;
+  }
+}
+
+void Proxy::StartRate(Request* request) {
+  request->stage = Stage::kRate;
+  if (!request->rate.IsValid()) {  // an open route
+    StartQueue(request);
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  RateQueue& queue = rate_queues_[request->rate];
+  // Behind those that wait already, so that they keep their order.
+  if (queue.ids.empty() && parts_.ledger->TryAdmit(request->rate, now)) {
+    StartQueue(request);
+    return;
+  }
+  if (queue.ids.size() >= kMaxRateWaiters) {
+    Refuse(request, Refusal::kRateLimited, "the workspace is above its rate");
+    return;
+  }
+  request->rate_wait_until = std::min(now + kMaxRateWait, request->deadline);
+  queue.ids.push_back(request->id);
+  parts_.ledger->SetWaiting(request->rate,
+                            static_cast<int64_t>(queue.ids.size()));
+  if (queue.ids.size() == 1) parts_.flush_ledger();
+}
+
+void Proxy::RetryRates(TimePoint now) {
+  std::vector<uint64_t> admitted;
+  std::vector<uint64_t> refused;
+  for (auto& [handle, queue] : rate_queues_) {
+    const size_t before = queue.ids.size();
+    while (!queue.ids.empty()) {
+      const Request* request = Find(queue.ids.front());
+      if (request == nullptr || request->stage != Stage::kRate) {
+        queue.ids.pop_front();
+        continue;
+      }
+      if (parts_.ledger->TryAdmit(handle, now, /*retry=*/true)) {
+        admitted.push_back(request->id);
+      } else if (now >= request->rate_wait_until) {
+        refused.push_back(request->id);
+      } else {
+        break;
+      }
+      queue.ids.pop_front();
+    }
+    if (queue.ids.size() != before) {
+      parts_.ledger->SetWaiting(handle, static_cast<int64_t>(queue.ids.size()));
+    }
+  }
+  for (uint64_t id : admitted) {
+    if (Request* request = Find(id); request != nullptr) StartQueue(request);
+  }
+  for (uint64_t id : refused) {
+    Request* request = Find(id);
+    if (request == nullptr) continue;
+    if (now >= request->deadline) {
+      Refuse(request, Refusal::kDeadline, "the deadline passed before a run");
+    } else {
+      Refuse(request, Refusal::kRateLimited, "the workspace is above its rate");
+    }
+  }
+}
+
+void Proxy::StartQueue(Request* request) {
+  const TimePoint now = EventLoop::Now();
+  if (parts_.crash_guard->IsBlocked(request->fingerprint, now)) {
+    Refuse(request, Refusal::kSuspectedCrash,
+           "requests like this one crashed upstreams");
+    return;
+  }
+  request->stage = Stage::kQueue;
+  ServiceState* service = request->service;
+  switch (service->queue().Push(request->id, request->workspace,
+                                request->deadline, now)) {
+    case PushResult::kQueued:
+      Dispatch(service, now);
+      return;
+    case PushResult::kFull:
+      Refuse(request, Refusal::kOverloaded,
+             "too many requests of the workspace wait for an upstream");
+      return;
+    case PushResult::kDeadlineEarly:
+      Refuse(request, Refusal::kOverloaded,
+             "no upstream will be free before the deadline");
+      return;
+  }
+}
+
+void Proxy::Dispatch(ServiceState* service, TimePoint now) {
+  // Sending may end a request at once, which frees a slot and calls back here.
+  if (is_dispatching_) return;
+  is_dispatching_ = true;
+  std::vector<uint64_t> postponed;
+  while (!service->queue().empty()) {
+    const auto slot = service->AcquireSlot(std::nullopt, rng_, now);
+    if (!slot) break;
+    const auto id = service->queue().Pop(now);
+    Request* request = id ? Find(*id) : nullptr;
+    if (request != nullptr &&
+        parts_.crash_guard->MaySend(service->upstream(slot->instance).id,
+                                    request->fingerprint, now)) {
+      request->slot = slot;
+      Send(request);
+      continue;
+    }
+    service->selector().OnCancelled(slot->instance);
+    parts_.ledger->ReleaseSlot(slot->token, now);
+    if (!id) break;
+    if (request != nullptr) postponed.push_back(*id);
+  }
+  is_dispatching_ = false;
+  for (uint64_t id : postponed) {
+    Request* request = Find(id);
+    if (request == nullptr) continue;
+    if (service->queue().Push(id, request->workspace, request->deadline, now) !=
+        PushResult::kQueued) {
+      Refuse(request, Refusal::kOverloaded, "no upstream may take the request");
+    }
+  }
+}
+
+void Proxy::Send(Request* request) {
+  const TimePoint now = EventLoop::Now();
+  const HttpRequest& http = request->exchange->request();
+  // The key may have been withdrawn while the request waited.
+  if (!request->route.open &&
+      view_->keys().Recheck(request->key_digest, *parts_.withdrawals).verdict !=
+          KeyVerdict::kValid) {
+    request->service->selector().OnCancelled(request->slot->instance);
+    ReleaseSlot(request);
+    Refuse(request, Refusal::kKeyWithdrawn, "the key was withdrawn");
+    return;
+  }
+  request->stage = Stage::kSent;
+  request->sent_at = now;
+  ++request->attempts;
+  if (request->attempts == 1) request->service->retries().OnRequest();
+  by_slot_[request->slot->token.id] = request->id;
+  const size_t instance = request->slot->instance;
+  const std::string& upstream = request->service->upstream(instance).id;
+  parts_.crash_guard->OnSent(upstream, request->fingerprint);
+  const Duration left = request->deadline - now;
+  request->call = parts_.upstreams->Send(
+      request->service->target(instance),
+      ForwardedRequest(http, request->workspace_name,
+                       fmt::format("{}{}.{}", request_id_prefix_, request->id,
+                                   request->attempts),
+                       left),
+      left, [this, id = request->id](const HttpOutcome& outcome) {
+        HandleOutcome(id, outcome);
+      });
+}
+
+void Proxy::ReleaseSlot(Request* request) {
+  if (!request->slot) return;
+  by_slot_.erase(request->slot->token.id);
+  parts_.ledger->ReleaseSlot(request->slot->token, EventLoop::Now());
+  request->slot.reset();
+}
+
+void Proxy::HandleOutcome(uint64_t id, const HttpOutcome& outcome) {
+  Request* request = Find(id);
+  if (request == nullptr) return;
+  request->call = 0;
+  if (outcome.ec) {
+    parts_.metrics->CountUpstreamFailure(outcome.ec.message());
+    if (outcome.was_sent) request->may_have_run = true;
+    HandleFailedAttempt(request, FailureOf(outcome));
+    return;
+  }
+  if (outcome.response.status == 503 &&
+      outcome.response.headers.Get("X-Not-Run") == "1") {
+    parts_.metrics->CountUpstreamFailure("shed");
+    HandleFailedAttempt(request, AttemptFailure::kShed);
+    return;
+  }
+  HandleAnswer(request, outcome.response);
+}
+
+void Proxy::HandleAnswer(Request* request, const HttpResponse& response) {
+  const TimePoint now = EventLoop::Now();
+  ServiceState* service = request->service;
+  if (request->slot && request->slot->instance != SIZE_MAX) {
+    const size_t instance = request->slot->instance;
+    service->selector().OnSuccess(instance, now - request->sent_at, now);
+    const auto cleared = parts_.crash_guard->OnFinished(
+        service->upstream(instance).id, request->fingerprint, true, now);
+    if (!cleared.empty()) parts_.flood(cleared);
+  }
+  ReleaseSlot(request);
+  wire::StoredOutcomeT stored;
+  stored.status = static_cast<uint16_t>(response.status);
+  stored.content_type = response.headers.Get("Content-Type");
+  stored.body.assign(response.body.begin(), response.body.end());
+  End(request, ReturnedResponse(response), "ran", &stored);
+  Dispatch(service, now);
+}
+
+void Proxy::HandleFailedAttempt(Request* request, AttemptFailure failure) {
+  const TimePoint now = EventLoop::Now();
+  ServiceState* service = request->service;
+  if (request->slot && request->slot->instance != SIZE_MAX) {
+    const size_t instance = request->slot->instance;
+    const std::string& upstream = service->upstream(instance).id;
+    if (failure == AttemptFailure::kShed) {
+      service->selector().OnShed(instance, now);
+    } else {
+      service->selector().OnFailure(instance, now);
+    }
+    if (failure == AttemptFailure::kBrokenMidway) {
+      // Stays in flight in the guard until it is known whether the instance
+      // crashed.
+      CheckCrash(upstream, service->target(instance));
+    } else {
+      parts_.crash_guard->OnFinished(upstream, request->fingerprint, false,
+                                     now);
+    }
+    request->avoid = instance;
+  }
+  ReleaseSlot(request);
+  // A claimed run that may have begun must not be begun again.
+  const bool may_repeat = request->route.idempotent || !request->may_have_run;
+  if (may_repeat && now < request->deadline &&
+      service->retries().TryRetry(failure, request->route.idempotent,
+                                  request->attempts)) {
+    parts_.metrics->CountRetry();
+    StartQueue(request);
+    return;
+  }
+  if (failure == AttemptFailure::kTimedOut || now >= request->deadline) {
+    Refuse(request, Refusal::kDeadline, "the deadline passed");
+  } else if (IsCertainlyNotRun(failure)) {
+    Refuse(request, Refusal::kNoUpstream, "no upstream took the request");
+  } else {
+    Refuse(request, Refusal::kUpstreamFailed,
+           "the upstream failed while it ran the request");
+  }
+  Dispatch(service, now);
+}
+
+void Proxy::CheckCrash(const std::string& upstream, const HttpTarget& target) {
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
+  HttpRequest probe;
+  probe.method = "GET";
+  probe.path = "/health";
+  parts_.upstreams->Send(
+      target, probe, kProbeTimeout, [this, upstream](const HttpOutcome& out) {
+        const TimePoint now = EventLoop::Now();
+        if (out.ec != NetErrc::kConnectFailed) return;
+        const auto suspicions = parts_.crash_guard->OnCrash(upstream, now);
+        if (!suspicions.empty()) parts_.flood(suspicions);
+      });
+}
+
+void Proxy::Refuse(Request* request, Refusal refusal,
+                   const std::string& message) {
+  const RunOutcome outcome =
+      request->may_have_run ? RunOutcome::kUnknown : RunOutcome::kNotRun;
+  HttpResponse response = RefusalResponse(refusal, outcome, message);
+  if (refusal == Refusal::kRateLimited) {
+    AddRetryAfter(&response,
+                  parts_.ledger->RetryAfter(request->rate, EventLoop::Now()));
+  }
+  End(request, response, RefusalCode(refusal), nullptr);
+}
+
+void Proxy::End(Request* request, const HttpResponse& response,
+                const std::string& result, const wire::StoredOutcomeT* stored) {
+  assert(!request->slot);
+  const TimePoint now = EventLoop::Now();
+  if (request->has_claim) {
+    const wire::ClaimEnd end = stored != nullptr ? wire::ClaimEnd::kCompleted
+                               : request->may_have_run
+                                   ? wire::ClaimEnd::kOutcomeUnknown
+                                   : wire::ClaimEnd::kNotRun;
+    parts_.claims->Finish(request->claim_request_id, end, stored, now);
+    parts_.flush_claims();
+  }
+  parts_.metrics->CountRequest(request->service->name(), result,
+                               now - request->arrived);
+  const auto it = requests_.find(request->id);
+  const std::unique_ptr<Request> owned = std::move(it->second);
+  requests_.erase(it);
+  owned->exchange->Respond(response);
+}
+
+void Proxy::HandleCallerLeft(uint64_t id) {
+  Request* request = Find(id);
+  if (request == nullptr) return;
+  const TimePoint now = EventLoop::Now();
+  ServiceState* service = request->service;
+  switch (request->stage) {
+    case Stage::kClaim:
+      by_claim_.erase(request->claim_request_id);
+      parts_.claims->Cancel(request->claim_request_id, now);
+      parts_.flush_claims();
+      break;
+    case Stage::kRate:
+      break;
+    case Stage::kQueue:
+      service->queue().Remove(id);
+      break;
+    case Stage::kSent:
+      // Closing the connection tells the upstream to stop.
+      if (request->call != 0) parts_.upstreams->Cancel(request->call);
+      request->may_have_run = true;
+      if (request->slot && request->slot->instance != SIZE_MAX) {
+        const size_t instance = request->slot->instance;
+        service->selector().OnCancelled(instance);
+        parts_.crash_guard->OnFinished(service->upstream(instance).id,
+                                       request->fingerprint, false, now);
+      }
+      ReleaseSlot(request);
+      break;
+  }
+  End(request, HttpResponse{499, {}, ""}, "caller-left", nullptr);
+  Dispatch(service, now);
+}
+
+void Proxy::Tick(TimePoint now) {
+  CancelEndedSlots(now);
+  OnLedgerChanged(now);
+  for (const auto& [name, state] : services_) {
+    for (uint64_t id : state->queue().Expire(now)) {
+      if (Request* request = Find(id); request != nullptr) {
+        Refuse(request, Refusal::kDeadline, "the deadline passed before a run");
+      }
+    }
+    state->UpdateDemand(now);
+  }
+}
+
+void Proxy::OnLedgerChanged(TimePoint now) {
+  RetryRates(now);
+  for (const auto& [name, state] : services_) Dispatch(state.get(), now);
+}
+
+void Proxy::CancelEndedSlots(TimePoint now) {
+  for (const SlotToken& token : parts_.ledger->TakeEndedSlots(now)) {
+    const auto it = by_slot_.find(token.id);
+    if (it == by_slot_.end()) continue;
+    Request* request = Find(it->second);
+    if (request == nullptr) continue;
+    // The lender counts the slot as its own again.
+    parts_.upstreams->Cancel(request->call);
+    request->call = 0;
+    request->may_have_run = true;
+    if (request->slot->instance != SIZE_MAX) {
+      const size_t instance = request->slot->instance;
+      request->service->selector().OnCancelled(instance);
+      parts_.crash_guard->OnFinished(request->service->upstream(instance).id,
+                                     request->fingerprint, false, now);
+    }
+    ReleaseSlot(request);
+    Refuse(request, Refusal::kUpstreamFailed,
+           "the loan of the upstream's slot ended");
+  }
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/proxy.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "entry/metrics.h"
+#include "entry/refusal.h"
+#include "entry/service_state.h"
+#include "entry/serving_view.h"
+#include "entry/settings.h"
+#include "keys/withdrawal_set.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "once/claim_client.h"
+#include "once/crash_guard.h"
+#include "rates/share_ledger.h"
+
+namespace rwf {
+
+// Runs callers' requests: key, claim, rate, queue, slot, upstream, answer.
+class Proxy {
+ public:
+  // Longest wait for tokens that peers may lend.
+  static constexpr Duration kMaxRateWait = std::chrono::milliseconds(150);
+  // Requests of one workspace that may wait for tokens.
+  static constexpr size_t kMaxRateWaiters = 1024;
+
+  // What the proxy works with; all of it outlives the proxy.
+  struct Parts {
+    EventLoop* loop;
+    const Settings* settings;
+    HttpClient* upstreams;
+    ShareLedger* ledger;
+    WithdrawalSet* withdrawals;
+    ClaimClient* claims;
+    CrashGuard* crash_guard;
+    Metrics* metrics;
+    // Time since the store was known to answer, here or at a peer.
+    std::function<Duration(TimePoint)> contact_age;
+    // Sends what the ledger, the claim client and the guard have for peers.
+    std::function<void()> flush_ledger;
+    std::function<void()> flush_claims;
+    std::function<void(const std::vector<wire::CrashSuspicionT>&)> flood;
+  };
+
+  Proxy(Parts parts, uint64_t incarnation, uint64_t seed);
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+  ~Proxy();
+
+  void SetView(std::shared_ptr<const ServingView> view, TimePoint now);
+  void Handle(std::shared_ptr<HttpExchange> exchange);
+
+  // Decisions of the claim client for requests that waited.
+  void OnClaimDecisions(const std::vector<ClaimDecision>& decisions);
+  // Called every 10 ms: deadlines, waits and ended slots.
+  void Tick(TimePoint now);
+  // Loans may have come: waiting requests try again.
+  void OnLedgerChanged(TimePoint now);
+
+  // Requests that are not answered yet.
+  size_t open_requests() const { return requests_.size(); }
+  size_t queued_requests() const;
+  ServiceState* FindService(const std::string& name);
+  const std::map<std::string, std::unique_ptr<ServiceState>>& services() const {
+    return services_;
+  }
+
+ private:
+  enum class Stage { kClaim, kRate, kQueue, kSent };
+
+  struct Request {
+    uint64_t id = 0;
+    std::shared_ptr<HttpExchange> exchange;
+    ServiceState* service = nullptr;
+    Route route;
+    uint32_t workspace = ServiceState::kOpenWorkspace;
+    std::string workspace_name;
+    Digest key_digest;
+    TimePoint arrived;
+    TimePoint deadline;
+    Stage stage = Stage::kRate;
+    ResourceHandle rate;
+    TimePoint rate_wait_until;
+    bool has_claim = false;  // a permitted run that has to be finished
+    uint64_t claim_request_id = 0;
+    Digest fingerprint;
+    int attempts = 0;
+    std::optional<size_t> avoid;
+    std::optional<HeldSlot> slot;
+    TimePoint sent_at;
+    HttpClient::CallId call = 0;
+    // An attempt that was sent and whose fate is unknown.
+    bool may_have_run = false;
+  };
+  struct RateQueue {
+    std::deque<uint64_t> ids;
+  };
+
+  // Steps of one request, in this order. Each either goes on to the next one,
+  // leaves the request waiting, or ends it.
+  void Admit(std::shared_ptr<HttpExchange> exchange);
+  bool ReadDeadline(Request* request);
+  bool Authenticate(Request* request);
+  void StartClaim(Request* request);
+  void StartRate(Request* request);
+  void StartQueue(Request* request);
+  void Send(Request* request);
+
+  void ApplyClaim(Request* request, const ClaimDecision& decision);
+  void HandleOutcome(uint64_t id, const HttpOutcome& outcome);
+  void HandleFailedAttempt(Request* request, AttemptFailure failure);
+  void HandleAnswer(Request* request, const HttpResponse& response);
+  void CheckCrash(const std::string& upstream, const HttpTarget& target);
+  void ReleaseSlot(Request* request);
+
+  void Refuse(Request* request, Refusal refusal, const std::string& message);
+  // Ends the request: claim, answer, metrics. `stored` is kept for resends.
+  void End(Request* request, const HttpResponse& response,
+           const std::string& result, const wire::StoredOutcomeT* stored);
+  void HandleCallerLeft(uint64_t id);
+
+  void RetryRates(TimePoint now);
+  void Dispatch(ServiceState* service, TimePoint now);
+  void CancelEndedSlots(TimePoint now);
+  Request* Find(uint64_t id);
+
+  Parts parts_;
+  std::string request_id_prefix_;
+  pcg32 rng_;
+  std::shared_ptr<const ServingView> view_;
+  std::map<std::string, std::unique_ptr<ServiceState>> services_;
+  std::unordered_map<uint64_t, std::unique_ptr<Request>> requests_;
+  std::unordered_map<uint64_t, uint64_t> by_claim_;  // claim request to request
+  std::unordered_map<uint64_t, uint64_t> by_slot_;   // slot token to request
+  std::map<ResourceHandle, RateQueue> rate_queues_;
+  uint64_t last_id_ = 0;
+  bool is_dispatching_ = false;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/service_state.cc
@@ -0,0 +1,113 @@
+#include "entry/service_state.h"
+
+#include <algorithm>
+
+namespace rwf {
+namespace {
+
+// Instances whose slots are asked for at a time.
+constexpr size_t kMaxShortInstances = 16;
+
+}  // namespace
+
+class ServiceState::LedgerSlots : public SlotSource {
+ public:
+  explicit LedgerSlots(ServiceState* state) : state_(state) {}
+
+  bool TryAcquire(size_t instance, TimePoint now) override {
+    token_ = state_->ledger_->TryAcquireSlot(state_->slots_[instance], now);
+    return token_.has_value();
+  }
+  const SlotToken& token() const { return *token_; }
+
+ private:
+  ServiceState* state_;
+  std::optional<SlotToken> token_;
+};
+
+class ServiceState::LedgerLinks : public LinkBudget {
+ public:
+  explicit LedgerLinks(ServiceState* state) : state_(state) {}
+
+  bool HasRoom(size_t region, TimePoint now) override {
+    const ResourceHandle link = state_->links_[region];
+    return !link.IsValid() || state_->ledger_->Level(link, now) > 0;
+  }
+
+ private:
+  ServiceState* state_;
+};
+
+ServiceState::ServiceState(const Config& config, size_t service,
+                           const std::string& own_zone, ShareLedger* ledger)
+    : name_(config.services[service].name),
+      ledger_(ledger),
+      queue_(config.limits.queue_per_workspace),
+      selector_(config, service, own_zone) {
+  const Zone* zone = config.FindZone(own_zone);
+  if (zone != nullptr) own_region_ = zone->region;
+  LoadConfig(config, service);
+}
+
+std::vector<size_t> ServiceState::Reconfigure(const Config& config,
+                                              size_t service, TimePoint now) {
+  for (size_t it : short_of_) ledger_->SetWaiting(slots_[it], 0);
+  short_of_.clear();
+  std::vector<size_t> new_index = selector_.Reconfigure(config, service, now);
+  LoadConfig(config, service);
+  return new_index;
+}
+
+void ServiceState::LoadConfig(const Config& config, size_t service) {
+  upstreams_ = config.services[service].upstreams;
+  slots_.clear();
+  for (const Upstream& it : upstreams_) {
+    slots_.push_back(ledger_->Find(wire::ResourceKind::kUpstreamSlots, it.id));
+  }
+  links_.clear();
+  for (const Region& it : config.regions) {
+    links_.push_back(ledger_->Find(wire::ResourceKind::kLinkBytes,
+                                   LinkResourceName(own_region_, it.name)));
+  }
+  queue_.SetLimit(config.limits.queue_per_workspace);
+  for (size_t i = 0; i < config.workspaces.size(); ++i) {
+    queue_.SetWeight(static_cast<uint32_t>(i), config.workspaces[i].weight);
+  }
+}
+
+std::optional<HeldSlot> ServiceState::AcquireSlot(std::optional<size_t> avoid,
+                                                  pcg32& rng, TimePoint now) {
+  LedgerSlots slots(this);
+  LedgerLinks links(this);
+  const auto selection = selector_.Select(slots, links, avoid, rng, now);
+  if (!selection) return std::nullopt;
+  return HeldSlot{selection->instance, slots.token()};
+}
+
+void ServiceState::UpdateDemand(TimePoint now) {
+  std::vector<size_t> wanted;
+  if (!queue_.empty()) {
+    const size_t limit = std::min(queue_.size(), kMaxShortInstances);
+    for (const Candidate& it : Explain(now)) {
+      if (wanted.size() == limit) break;
+      if (it.state != CandidateState::kReady &&
+          it.state != CandidateState::kWarmingUp) {
+        continue;
+      }
+      wanted.push_back(it.instance);
+    }
+  }
+  for (size_t it : short_of_) {
+    if (std::find(wanted.begin(), wanted.end(), it) != wanted.end()) continue;
+    ledger_->SetWaiting(slots_[it], 0);
+  }
+  for (size_t it : wanted) ledger_->SetWaiting(slots_[it], 1);
+  short_of_ = std::move(wanted);
+}
+
+std::vector<Candidate> ServiceState::Explain(TimePoint now) {
+  LedgerLinks links(this);
+  return selector_.Explain(links, now);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/service_state.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "fairness/fair_queue.h"
+#include "net/http_client.h"
+#include "rates/share_ledger.h"
+#include "steering/retry_budget.h"
+#include "steering/upstream_selector.h"
+
+namespace rwf {
+
+// A slot of an instance, held for one request.
+struct HeldSlot {
+  size_t instance = 0;
+  SlotToken token;
+};
+
+// What this VM keeps of one service across generations: queue, evidence about
+// the instances, retry budget.
+class ServiceState {
+ public:
+  // Pseudo workspace of requests on open routes.
+  static constexpr uint32_t kOpenWorkspace = UINT32_MAX;
+
+  // `ledger` outlives the state. `service` is an index into config.services.
+  ServiceState(const Config& config, size_t service,
+               const std::string& own_zone, ShareLedger* ledger);
+
+  // Puts another generation in force; gives the new index of each instance, or
+  // SIZE_MAX where it is gone.
+  std::vector<size_t> Reconfigure(const Config& config, size_t service,
+                                  TimePoint now);
+
+  // Chooses an instance and takes a slot of it.
+  std::optional<HeldSlot> AcquireSlot(std::optional<size_t> avoid, pcg32& rng,
+                                      TimePoint now);
+
+  // Tells the ledger which slots are short while requests wait, so that it
+  // borrows some, or that none are.
+  void UpdateDemand(TimePoint now);
+
+  std::vector<Candidate> Explain(TimePoint now);
+
+  const std::string& name() const { return name_; }
+  const Upstream& upstream(size_t instance) const {
+    return upstreams_[instance];
+  }
+  size_t instance_count() const { return upstreams_.size(); }
+  HttpTarget target(size_t instance) const {
+    return {upstreams_[instance].address, upstreams_[instance].port};
+  }
+  FairQueue& queue() { return queue_; }
+  UpstreamSelector& selector() { return selector_; }
+  RetryBudget& retries() { return retries_; }
+
+ private:
+  class LedgerSlots;
+  class LedgerLinks;
+
+  void LoadConfig(const Config& config, size_t service);
+
+  std::string name_;
+  std::string own_region_;
+  ShareLedger* ledger_;
+  FairQueue queue_;
+  UpstreamSelector selector_;
+  RetryBudget retries_;
+  std::vector<Upstream> upstreams_;
+  std::vector<ResourceHandle> slots_;
+  std::vector<ResourceHandle> links_;  // by region index of Topology
+  std::vector<size_t> short_of_;       // instances reported as waited for
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/serving_view.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config/config.h"
+#include "keys/key_table.h"
+#include "steering/entry_selector.h"
+
+namespace rwf {
+
+// What requests are served by while one generation is in force. Immutable.
+class ServingView {
+ public:
+  struct RouteMatch {
+    size_t service = 0;  // index into Config::services
+    const Route* route = nullptr;
+  };
+
+  explicit ServingView(std::shared_ptr<const Config> config);
+
+  const Config& config() const { return *config_; }
+  const std::shared_ptr<const Config>& shared_config() const { return config_; }
+  const KeyTable& keys() const { return keys_; }
+  const EntrySelector& entries() const { return entries_; }
+
+  // The route of a path whose first segment names the service: the longest
+  // prefix with that method. `route` is null if there is none.
+  RouteMatch MatchRoute(const std::string& method,
+                        const std::string& path) const;
+
+ private:
+  std::shared_ptr<const Config> config_;
+  KeyTable keys_;
+  EntrySelector entries_;
+  std::map<std::string, size_t> service_index_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "net/http_client.h"
+#include "net/peer_links.h"
+
+namespace rwf {
+
+enum class SettingsErrc { kInvalid = 1 };
+std::error_code make_error_code(SettingsErrc code);
+
+// What a process of redwingferryd learns from its settings file; everything
+// else comes with the configuration.
+struct Settings {
+  std::string vm;
+  std::string zone;
+  std::string cluster;
+  HttpTarget store;
+  std::vector<std::string> fleet_secrets;  // current first, then the former one
+  std::string operator_token;
+  std::string address;  // IPv4 of this VM
+  uint16_t caller_port = 0;
+  uint16_t peer_port = 0;
+  uint16_t operator_port = 0;
+  // Peers to ask for a configuration before there is one.
+  std::vector<PeerAddress> seed_peers;
+
+  friend bool operator==(const Settings&, const Settings&) = default;
+};
+
+// Reads settings (JSON with comments). On failure the message lists every
+// problem with its JSON pointer.
+Result<Settings> ParseSettings(std::string_view text, std::string_view source);
+
+// "http://ADDRESS:PORT" as a target; false on anything else.
+bool ParseHttpTarget(std::string_view text, HttpTarget* out);
+
+}  // namespace rwf
+
+template <>
+struct std::is_error_code_enum<rwf::SettingsErrc> : std::true_type {};
--- /dev/null
+++ b/src/net/http_store.cc
@@ -0,0 +1,261 @@
+#include "net/http_store.h"
+
+#include <event2/http.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+
+#include "base/json_reader.h"
+
+namespace rwf {
+namespace {
+
+std::string Encode(const std::string& text) {
+  char* encoded = evhttp_encode_uri(text.c_str());
+  std::string out = encoded;
+  std::free(encoded);
+  return out;
+}
+
+// Keys may contain '/', which stays as it is in a path.
+std::string KeyPath(const std::string& key) {
+  std::string out = "/v1/kv/";
+  for (char c : key) {
+    out += c == '/' ? "/" : Encode(std::string(1, c));
+  }
+  return out;
+}
+
+Error BadAnswer(const std::string& what) {
+  return {StoreErrc::kBadAnswer, "store answered with " + what};
+}
+
+// Runs `read` on the parsed body. Missing members and wrong types are a bad
+// answer, never an exception that leaves the callback.
+template <typename T, typename Read>
+Result<T> ReadBody(const HttpResponse& response, Read read) {
+  try {
+    return read(Json::parse(response.body));
+  } catch (const Json::exception& e) {
+    return tl::unexpected<Error>(BadAnswer(e.what()));
+  }
+}
+
+StoreValue ReadValue(const Json& body) {
+  return {body.at("value").get<std::string>(),
+          body.at("version").get<uint64_t>()};
+}
+
+Result<StoreValue> ValueOf(const Result<HttpResponse>& answer,
+                           const StoreValue& unchanged) {
+  if (!answer) return tl::unexpected<Error>(answer.error());
+  if (answer->status == 404) return StoreValue{};
+  return ReadBody<StoreValue>(*answer, [&](const Json& body) {
+    return body.value("unchanged", false) && !body.contains("value")
+               ? unchanged
+               : ReadValue(body);
+  });
+}
+
+}  // namespace
+
+HttpStore::HttpStore(EventLoop* loop, HttpTarget target)
+    : target_(std::move(target)), client_(loop, {}) {}
+
+void HttpStore::Call(
+    Kind kind, const std::string& method, const std::string& path,
+    const std::string& query, std::string body, Duration timeout,
+    std::function<void(Result<HttpResponse>, TimePoint)> done) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.query = query;
+  request.body = std::move(body);
+  if (!request.body.empty()) {
+    request.headers.Add("Content-Type", "application/json");
+  }
+  client_.Send(
+      target_, request, timeout,
+      [kind, done = std::move(done)](HttpOutcome outcome) {
+        const TimePoint now = EventLoop::Now();
+        const int status = outcome.response.status;
+        if (outcome.ec) {
+          const bool has_no_effect = kind == Kind::kRead || !outcome.was_sent;
+          done(Fail(has_no_effect ? StoreErrc::kUnavailable
+                                  : StoreErrc::kUnknownOutcome,
+                    "store: " + outcome.ec.message()),
+               now);
+        } else if (status == 429) {
+          done(Fail(StoreErrc::kThrottled, "store limits the rate of calls"),
+               now);
+        } else if (status == 413) {
+          done(Fail(StoreErrc::kTooLarge, "value too large for the store"),
+               now);
+        } else if (status == 503) {
+          done(Fail(StoreErrc::kUnavailable, "store is not available"), now);
+        } else if (status != 200 && status != 404 && status != 409) {
+          done(tl::unexpected<Error>(
+                   BadAnswer(fmt::format("status {}", status))),
+               now);
+        } else {
+          done(std::move(outcome.response), now);
+        }
+      });
+}
+
+void HttpStore::Get(const std::string& key, Callback<StoreValue> done) {
+  Call(Kind::kRead, "GET", KeyPath(key), "", "", kCallTimeout,
+       [done = std::move(done)](const Result<HttpResponse>& answer,
+                                TimePoint now) {
+         done(ValueOf(answer, {}), now);
+       });
+}
+
+void HttpStore::CompareAndSwap(const std::string& key,
+                               uint64_t expected_version,
+                               const std::string& value,
+                               const std::string& operation_id,
+                               Callback<SwapOutcome> done) {
+  const Json body = {{"value", value}, {"operation_id", operation_id}};
+  Call(Kind::kWrite, "PUT", KeyPath(key),
+       fmt::format("version={}", expected_version), body.dump(), kCallTimeout,
+       [done = std::move(done)](const Result<HttpResponse>& answer,
+                                TimePoint now) {
+         if (!answer) {
+           done(tl::unexpected<Error>(answer.error()), now);
+           return;
+         }
+         done(ReadBody<SwapOutcome>(*answer,
+                                    [&](const Json& read) {
+                                      return SwapOutcome{
+                                          answer->status == 200,
+                                          read.at("version").get<uint64_t>()};
+                                    }),
+              now);
+       });
+}
+
+void HttpStore::List(const std::string& prefix, const std::string& after,
+                     size_t limit, Callback<StorePage> done) {
+  // One more than asked for tells whether there is a next page.
+  Call(Kind::kRead, "GET", "/v1/list",
+       fmt::format("prefix={}&after={}&limit={}", Encode(prefix), Encode(after),
+                   limit + 1),
+       "", kCallTimeout,
+       [done = std::move(done), limit](const Result<HttpResponse>& answer,
+                                       TimePoint now) {
+         if (!answer) {
+           done(tl::unexpected<Error>(answer.error()), now);
+           return;
+         }
+         done(ReadBody<StorePage>(*answer,
+                                  [&](const Json& body) {
+                                    StorePage page;
+                                    for (const Json& it : body.at("keys")) {
+                                      if (page.entries.size() == limit) {
+                                        page.more = true;
+                                        break;
+                                      }
+                                      page.entries.push_back(
+                                          {it.at("key").get<std::string>(),
+                                           ReadValue(it)});
+                                    }
+                                    return page;
+                                  }),
+              now);
+       });
+}
+
+void HttpStore::Watch(const std::string& key, uint64_t after_version,
+                      Duration timeout, Callback<StoreValue> done) {
+  // The current value comes with an answer at the timeout as well.
+  Call(Kind::kRead, "GET", KeyPath(key),
+       fmt::format("wait_version={}&timeout_ms={}", after_version,
+                   ToMillis(timeout)),
+       "", timeout + kCallTimeout,
+       [done = std::move(done), after_version](
+           const Result<HttpResponse>& answer, TimePoint now) {
+         done(ValueOf(answer, {"", after_version}), now);
+       });
+}
+
+void HttpStore::CallLease(const std::string& name, std::string body,
+                          const StoreLease& lease, Callback<StoreLease> done) {
+  Call(Kind::kWrite, "POST", "/v1/lease/" + Encode(name), "", std::move(body),
+       kCallTimeout,
+       [done = std::move(done), lease](const Result<HttpResponse>& answer,
+                                       TimePoint now) {
+         if (!answer) {
+           done(tl::unexpected<Error>(answer.error()), now);
+           return;
+         }
+         if (answer->status != 200) {
+           done(Fail(StoreErrc::kConflict, "lease is held by another holder"),
+                now);
+           return;
+         }
+         done(ReadBody<StoreLease>(*answer,
+                                   [&](const Json& read) {
+                                     StoreLease out = lease;
+                                     out.token = read.value("token", out.token);
+                                     return out;
+                                   }),
+              now);
+       });
+}
+
+void HttpStore::Acquire(const std::string& name, const std::string& holder,
+                        Duration ttl, Callback<StoreLease> done) {
+  const Json body = {
+      {"holder", holder}, {"ttl_ms", ToMillis(ttl)}, {"action", "acquire"}};
+  CallLease(name, body.dump(), {name, holder, 0, ttl}, std::move(done));
+}
+
+void HttpStore::Renew(const StoreLease& lease, Callback<StoreLease> done) {
+  const Json body = {{"holder", lease.holder},
+                     {"ttl_ms", ToMillis(lease.ttl)},
+                     {"token", lease.token},
+                     {"action", "renew"}};
+  CallLease(lease.name, body.dump(), lease, std::move(done));
+}
+
+void HttpStore::Release(const StoreLease& lease, Callback<bool> done) {
+  const Json body = {{"holder", lease.holder},
+                     {"ttl_ms", ToMillis(lease.ttl)},
+                     {"token", lease.token},
+                     {"action", "release"}};
+  CallLease(lease.name, body.dump(), lease,
+            [done = std::move(done)](const Result<StoreLease>& result,
+                                     TimePoint now) {
+              if (!result) {
+                done(tl::unexpected<Error>(result.error()), now);
+                return;
+              }
+              done(true, now);
+            });
+}
+
+void HttpStore::ListVms(Callback<std::vector<PlatformVm>> done) {
+  Call(Kind::kRead, "GET", "/v1/vms", "", "", kCallTimeout,
+       [done = std::move(done)](const Result<HttpResponse>& answer,
+                                TimePoint now) {
+         if (!answer) {
+           done(tl::unexpected<Error>(answer.error()), now);
+           return;
+         }
+         done(ReadBody<std::vector<PlatformVm>>(
+                  *answer,
+                  [](const Json& body) {
+                    std::vector<PlatformVm> out;
+                    for (const Json& it : body.at("vms")) {
+                      out.push_back(
+                          {it.at("id").get<std::string>(),
+                           it.at("state").get<std::string>() == "leaving"});
+                    }
+                    return out;
+                  }),
+              now);
+       });
+}
+
+}  // namespace rwf
--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -87,7 +87,7 @@
     return {};
   }
   if (const auto* proof = message.body.AsHelloProof(); proof != nullptr) {
-    const Result<void> checked = handshake_.OnProof(*proof);
+    Result<void> checked = handshake_.OnProof(*proof);
     if (!checked) return checked;
     // The proofs are the last frames without a key in both directions.
     reader_.SetKey(handshake_.receive_key());
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -168,8 +168,12 @@
   counters_.bytes_received += owned->bytes_received();
   if (error.code.category() == make_error_code(WireErrc::kProof).category()) {
     ++counters_.links_refused;
-    Log(LogLevel::kWarning, "peer_link_refused", "vm={} error=\"{}\"",
-        owned->vm(), error.message);
+    // A peer that is refused tries again and again; one line tells it all.
+    if (error.message != last_refusal_) {
+      Log(LogLevel::kWarning, "peer_link_refused", "vm={} error=\"{}\"",
+          owned->vm(), error.message);
+      last_refusal_ = error.message;
+    }
   }
   const auto ready = links_.find(owned->vm());
   if (ready == links_.end() || ready->second != link) return;
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -109,6 +109,7 @@
   std::map<PeerLink*, std::unique_ptr<PeerLink>> sockets_;
   std::map<std::string, PeerLink*> links_;  // ready, one for each peer
   std::unique_ptr<Timer> timer_;
+  std::string last_refusal_;
   Counters counters_;
 };
 
--- a/src/replica/manifest.h
+++ b/src/replica/manifest.h
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/time.h"
+#include "config/sections.h"
 
 namespace rwf {
 
@@ -20,9 +21,6 @@
 std::string AuditKey(uint64_t generation);  // sorts by generation
 std::string RejectedKey(const std::string& operation_id);
 
-// Largest text of one section: it has to fit into one peer message.
-inline constexpr size_t kMaxSectionBytes = 800'000;
-
 // Section name to section text.
 using SectionTexts = std::map<std::string, std::string>;
 
--- a/tests/config/sections_test.cc
+++ b/tests/config/sections_test.cc
@@ -28,8 +28,8 @@
   return config;
 }
 
-SectionTexts TextsOf(const std::vector<Section>& sections) {
-  SectionTexts out;
+TextsByDigest TextsOf(const std::vector<Section>& sections) {
+  TextsByDigest out;
   for (const Section& it : sections) out[it.digest] = it.text;
   return out;
 }
@@ -44,46 +44,41 @@
     "AssembleConfig, all sections, gives the configuration that was cut") {
   const Config config = Sample();
   const auto sections = Cut(config);
-  const Manifest manifest = MakeManifest(config.generation, sections, "op-1");
-  const auto read = ParseManifest(SerializeManifest(manifest), "manifest");
-  REQUIRE(read);
-  CHECK(*read == manifest);
-  const auto assembled = AssembleConfig(*read, TextsOf(sections));
+  const SectionIndex manifest = MakeIndex(config.generation, sections);
+  const auto assembled = AssembleConfig(manifest, TextsOf(sections));
   REQUIRE_MESSAGE(assembled, assembled.error().message);
   CHECK(**assembled == config);
-  CHECK(ManifestOf(config, "op-1")->digest == manifest.digest);
+  CHECK(IndexOf(config)->digest == manifest.digest);
 }
 
 // Guards against a torn, corrupt or foreign copy that replaces a good one.
 TEST_CASE("AssembleConfig, faulty copy, is refused with the reason") {
   const Config config = Sample();
   const auto sections = Cut(config);
-  const Manifest manifest = MakeManifest(7, sections, "op");
-  const SectionTexts texts = TextsOf(sections);
-  const auto code_of = [](const Manifest& m, const SectionTexts& t) {
+  const SectionIndex manifest = MakeIndex(7, sections);
+  const TextsByDigest texts = TextsOf(sections);
+  const auto code_of = [](const SectionIndex& m, const TextsByDigest& t) {
     const auto out = AssembleConfig(m, t);
     REQUIRE(!out);
     return out.error().code;
   };
   for (const Section& section : sections) {
-    SectionTexts damaged = texts;
+    TextsByDigest damaged = texts;
     damaged[section.digest] += " ";
     CHECK(code_of(manifest, damaged) == ConfigErrc::kDigestMismatch);
     damaged.erase(section.digest);
     CHECK(code_of(manifest, damaged) == ConfigErrc::kMissingSection);
   }
-  Manifest other = manifest;
+  SectionIndex other = manifest;
   other.generation = 8;  // A digest counts for one generation.
   CHECK(code_of(other, texts) == ConfigErrc::kDigestMismatch);
-  CHECK(ParseManifest(SerializeManifest(other), "m").error().code ==
-        ConfigErrc::kDigestMismatch);
 
   // Correct digests over contents that are not valid.
   const auto with = [&](const std::string& name, const std::string& text) {
-    Manifest m = manifest;
-    SectionTexts t = texts;
+    SectionIndex m = manifest;
+    TextsByDigest t = texts;
     m.sections[name] = Sha256(text);
-    m.digest = ManifestDigest(m.generation, m.sections);
+    m.digest = IndexDigest(m.generation, m.sections);
     t[Sha256(text)] = text;
     return code_of(m, t);
   };
@@ -92,9 +87,9 @@
   CHECK(with("limits", R"({"newer_setting":1})") == ConfigErrc::kInvalid);
   CHECK(with("newer_section", "[]") == ConfigErrc::kInvalid);
   CHECK(with("client_blocks.0x", "[]") == ConfigErrc::kInvalid);
-  Manifest short_manifest = manifest;
+  SectionIndex short_manifest = manifest;
   short_manifest.sections.erase("moves");
-  short_manifest.digest = ManifestDigest(7, short_manifest.sections);
+  short_manifest.digest = IndexDigest(7, short_manifest.sections);
   CHECK(code_of(short_manifest, texts) == ConfigErrc::kMissingSection);
 }
 
@@ -107,7 +102,7 @@
     if (it.name.rfind("client_blocks", 0) == 0) ++n_chunks;
   }
   CHECK(n_chunks == 128);
-  const Manifest manifest = MakeManifest(7, sections, "op");
+  const SectionIndex manifest = MakeIndex(7, sections);
   const auto assembled = AssembleConfig(manifest, TextsOf(sections));
   REQUIRE_MESSAGE(assembled, assembled.error().message);
   CHECK(**assembled == config);
@@ -116,7 +111,7 @@
 // Guards against deltas that grow with the number of blocks.
 TEST_CASE("MissingSections, one block changed, is one chunk that assembles") {
   const Config before = Large();
-  const Manifest base = MakeManifest(7, Cut(before), "a");
+  const SectionIndex base = MakeIndex(7, Cut(before));
   const auto edits = {
       +[](Config* c) { c->client_blocks[1000].zone = "z2"; },
       +[](Config* c) { c->client_blocks.erase(c->client_blocks.begin() + 9); },
@@ -129,10 +124,10 @@
     after.generation = 8;
     edit(&after);
     const auto sections = Cut(after);
-    const Manifest manifest = MakeManifest(8, sections, "b");
+    const SectionIndex manifest = MakeIndex(8, sections);
     const auto missing = MissingSections(manifest, &base);
     REQUIRE(missing.size() == 1);
-    const SectionTexts texts = {{missing[0], TextsOf(sections)[missing[0]]}};
+    const TextsByDigest texts = {{missing[0], TextsOf(sections)[missing[0]]}};
     const auto assembled = AssembleConfig(manifest, texts, &base, &before);
     REQUIRE_MESSAGE(assembled, assembled.error().message);
     CHECK(**assembled == after);
@@ -143,13 +138,13 @@
 
 TEST_CASE("AssembleConfig, changed sections other than blocks, replaces them") {
   const Config before = Large(10'000);
-  const Manifest base = MakeManifest(7, Cut(before), "a");
+  const SectionIndex base = MakeIndex(7, Cut(before));
   Config after = before;
   after.generation = 8;
   after.drains.clear();
   after.workspaces[0].rate = 99;
   const auto sections = Cut(after);
-  const Manifest manifest = MakeManifest(8, sections, "b");
+  const SectionIndex manifest = MakeIndex(8, sections);
   CHECK(MissingSections(manifest, &base).size() == 2);
   const auto assembled =
       AssembleConfig(manifest, TextsOf(sections), &base, &before);
--- /dev/null
+++ b/tests/net/peer_links_test.cc
@@ -0,0 +1,133 @@
+#include "net/peer_links.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+
+#include "net/net_error.h"
+#include "net/raw_server.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct LinksFixture {
+  EventLoop loop;
+  std::unique_ptr<Timer> limit =
+      loop.After(std::chrono::seconds(10), [this] { loop.Stop(); });
+
+  std::unique_ptr<PeerLinks> Make(const std::string& vm, uint64_t incarnation,
+                                  const std::string& secret = "secret") {
+    return std::make_unique<PeerLinks>(
+        &loop, LinkIdentity{"site", vm, incarnation, {secret}}, incarnation);
+  }
+  // Runs until `done` holds; false after the time limit.
+  bool RunUntil(const std::function<bool()>& done) {
+    const auto timer = loop.Every(milliseconds(1), [&] {
+      if (done()) loop.Stop();
+    });
+    loop.Run();
+    return done();
+  }
+};
+
+TEST_CASE_FIXTURE(
+    LinksFixture,
+    "PeerLinks, both sides dial, one link stays and carries messages") {
+  auto a = Make("a", 1);
+  auto b = Make("b", 2);
+  const uint16_t port_a = a->Listen("127.0.0.1", 0).value();
+  const uint16_t port_b = b->Listen("127.0.0.1", 0).value();
+  std::vector<uint64_t> received;
+  b->signal_message.connect(
+      [&](const std::string& vm, const wire::MessageT& message) {
+        CHECK(vm == "a");
+        received.push_back(message.body.AsProbe()->nonce);
+      });
+  a->SetAddresses({{"b", "127.0.0.1", port_b}});
+  b->SetAddresses({{"a", "127.0.0.1", port_a}});
+  a->SetWanted({"b"});
+  b->SetWanted({"a"});
+  REQUIRE(RunUntil([&] { return a->HasLink("b") && b->HasLink("a"); }));
+  uint64_t n = 0;
+  // While the second link is being closed a message may be lost, as on any link
+  // that breaks; afterwards none is.
+  REQUIRE(RunUntil([&] {
+    wire::ProbeT probe;
+    probe.nonce = ++n;
+    wire::BodyUnion body;
+    body.Set(std::move(probe));
+    a->Send("b", std::move(body));
+    return received.size() >= 20;
+  }));
+  CHECK(std::is_sorted(received.begin(), received.end()));
+}
+
+TEST_CASE_FIXTURE(LinksFixture,
+                  "PeerLinks, peer without the secret, gets no link") {
+  auto a = Make("a", 1);
+  auto b = Make("b", 2, "another");
+  const uint16_t port_b = b->Listen("127.0.0.1", 0).value();
+  a->SetAddresses({{"b", "127.0.0.1", port_b}});
+  a->SetWanted({"b"});
+  REQUIRE(RunUntil([&] {
+    return a->counters().links_refused + b->counters().links_refused >= 2;
+  }));
+  CHECK_FALSE(a->HasLink("b"));
+  CHECK_FALSE(b->HasLink("a"));
+}
+
+// A refused connection proves that no process listens, which lets another VM
+// use the share; silence must never count as that proof.
+TEST_CASE_FIXTURE(LinksFixture,
+                  "PeerLinks, probe, tells refusal from acceptance") {
+  auto a = Make("a", 1);
+  RawServer silent(&loop, "", /*keeps_open=*/true);
+  RawServer closed(&loop, "");
+  const uint16_t closed_port = closed.port();
+  closed.Close();
+  std::map<std::string, std::error_code> results;
+  a->signal_probed.connect([&](const std::string& vm, std::error_code ec,
+                               TimePoint) { results[vm] = ec; });
+  a->SetAddresses({{"silent", "127.0.0.1", silent.port()},
+                   {"closed", "127.0.0.1", closed_port}});
+  a->Probe("silent");
+  a->Probe("closed");
+  REQUIRE(RunUntil([&] { return results.size() == 2; }));
+  CHECK_FALSE(results["silent"]);
+  CHECK(results["closed"] == NetErrc::kConnectRefused);
+}
+
+// Guards against a process that dies on what a stranger sends to its port.
+TEST_CASE_FIXTURE(
+    LinksFixture,
+    "PeerLinks, foreign bytes, are refused and the listener goes on") {
+  auto a = Make("a", 1);
+  const uint16_t port = a->Listen("127.0.0.1", 0).value();
+  auto b = Make("b", 2);
+  const char* const bytes[] = {"GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff",
+                               "\x14\0\0\0garbage-garbage-garbage"};
+  std::vector<std::unique_ptr<ConnectAttempt>> attempts;
+  std::vector<int> sockets;
+  for (const char* it : bytes) {
+    attempts.push_back(std::make_unique<ConnectAttempt>(
+        &loop, "127.0.0.1", port, milliseconds(1000),
+        [&sockets, it](std::error_code, int fd) {
+          sockets.push_back(fd);
+          CHECK(write(fd, it, strlen(it)) > 0);
+        }));
+  }
+  REQUIRE(RunUntil([&] { return sockets.size() == 3; }));
+  b->SetAddresses({{"a", "127.0.0.1", port}});
+  b->SetWanted({"a"});
+  CHECK(RunUntil(
+      [&] { return b->HasLink("a") && a->counters().links_refused >= 1; }));
+  for (int it : sockets) evutil_closesocket(it);
+}
+
+}  // namespace
+}  // namespace rwf
