Add module once: idempotency keys, claims at the home VM, crash guard

A non-idempotent request may run once at most, although callers resend it through any entry VM and no VM keeps state over a restart.

The home process of a key permits each run; the asking VM recognises late, doubled and lost permissions and gives back those that it did not use. Keys that may be forgotten are refused by a horizon that never falls, even if the wall clock is set back. Every refusal that concerns a well-formed key says unknown. A fingerprint in flight at the crash of two instances is blocked, and two suspects do not share an instance.

--- a/src/once/claim_client.h
+++ b/src/once/claim_client.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
+#include <system_error>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -65,6 +67,9 @@
   // Requests remembered after their decision, to recognise late and doubled
   // permissions.
   static constexpr size_t kMaxRemembered = 16'384;
+  // Results kept for OnReachable.
+  static constexpr Duration kResultMemory = std::chrono::seconds(30);
+  static constexpr size_t kMaxResults = 256;
 
   // `ledger` is this process's own and outlives the client.
   ClaimClient(VmProcess self, ClaimLedger* ledger);
@@ -94,11 +99,15 @@
   void Finish(uint64_t request_id, wire::ClaimEnd end,
               const wire::StoredOutcomeT* outcome, TimePoint now);
 
+  // The link to the VM is up again: results that may have been lost with the
+  // last one are sent once more. The home ignores those it has.
+  void OnReachable(const std::string& vm, TimePoint now);
+
   // Messages gathered since the last call.
   std::vector<ClaimMessage> TakeOutbox();
 
-  size_t waiting() const;
-  size_t running() const;
+  size_t waiting() const { return waiting_; }
+  size_t running() const { return running_; }
 
  private:
   enum class State : uint8_t { kWaiting, kRunning, kGivenUp, kDecided };
@@ -107,23 +116,34 @@
     std::string home;
     wire::ClaimRequestT message;
     uint64_t accepted_attempt = 0;  // zero: none
-    TimePoint deadline{};
-    TimePoint repeat_at{};
+    TimePoint due{};                // deadline, or time of the next repeat
     Duration repeat_pause{};
     TimePoint forget_at{};
   };
+  struct SentResult {
+    TimePoint at{};
+    std::string home;
+    wire::ClaimResultT message;
+  };
 
   ClaimDecision Decide(uint64_t request_id, Request* request,
                        const wire::ClaimReplyT& reply);
   ClaimDecision GiveUp(uint64_t request_id, Request* request, TimePoint now);
-  void Remember(uint64_t request_id);
+  void SetTimer(uint64_t request_id, Request* request, TimePoint due);
+  void Release(const std::string& home, const wire::ClaimReplyT& reply);
+  void Remember(uint64_t request_id, Request* request, TimePoint now);
+  void Forget(TimePoint now);
 
   const VmProcess self_;
   ClaimLedger* const ledger_;
   std::unordered_map<uint64_t, Request> requests_;
+  std::multimap<TimePoint, uint64_t> timers_;  // valid if equal to Request::due
   std::deque<uint64_t> remembered_;  // decided or given up, oldest first
+  std::deque<SentResult> sent_results_;
   std::vector<ClaimMessage> outbox_;
   uint64_t last_request_id_ = 0;
+  size_t waiting_ = 0;
+  size_t running_ = 0;
 };
 
 }  // namespace rwf
--- a/src/once/claim_ledger.h
+++ b/src/once/claim_ledger.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/digest.h"
 #include "base/time.h"
@@ -28,7 +30,12 @@
  public:
   static constexpr size_t kMaxOutcomeBytes = 16 * 1024;
   static constexpr size_t kMaxStoredBytes = 16 * 1024 * 1024;
-  static constexpr size_t kMaxClaims = 200'000;
+  // Bodies above this are dropped before any smaller one.
+  static constexpr size_t kLargeOutcomeBytes = 1024;
+  // 100,000 claims take about 35 MB without outcomes and last for 166 claims a
+  // second over the lifetime of a key. Beyond that the oldest keys expire
+  // early.
+  static constexpr size_t kMaxClaims = 100'000;
   // A permitted run without a result for this long counts as unknown; longer
   // than any request may take.
   static constexpr Duration kRunLimit = std::chrono::seconds(120);
@@ -62,30 +69,38 @@
   uint64_t dropped_outcomes() const { return dropped_outcomes_; }
 
  private:
-  enum class State : uint8_t { kReleased, kRunning, kCompleted, kUnknown };
+  enum class State : uint8_t {
+    kReleased,   // not run, free to be permitted again
+    kRunning,    // permitted
+    kPresumed,   // permitted, and the runner is presumed gone
+    kCompleted,  // ran
+    kUnknown,    // may have run
+  };
+  using OutcomeList = std::list<Digest>;
   struct Claim {
     Digest body;
     State state = State::kReleased;
     uint64_t attempt = 0;
-    uint64_t minted_unix_s = 0;
-    VmProcess runner;
     uint64_t request_id = 0;
+    VmProcess runner;
     TimePoint granted_at{};
-    wire::StoredOutcomeT outcome;
-    std::list<Digest>::iterator stored{};  // in outcomes_, if has_outcome
-    bool has_outcome = false;
+    std::unique_ptr<wire::StoredOutcomeT> outcome;
+    OutcomeList::iterator stored{};  // only with an outcome
   };
 
   void Advance(WallTime wall);
   void RaiseHorizon(uint64_t minted_unix_s);
-  void Store(const Digest& id, Claim* claim, const wire::StoredOutcomeT& out);
+  void Store(const Digest& id, Claim* claim,
+             const wire::StoredOutcomeT& outcome);
   void DropOutcome(Claim* claim);
+  OutcomeList& ListFor(const wire::StoredOutcomeT& outcome);
 
   const uint64_t incarnation_;
   const size_t max_claims_;
   std::unordered_map<Digest, Claim> claims_;
-  std::multimap<uint64_t, Digest> by_mint_;
-  std::list<Digest> outcomes_;  // oldest first
+  std::map<uint64_t, std::vector<Digest>> by_mint_;
+  OutcomeList large_outcomes_;  // oldest first
+  OutcomeList small_outcomes_;
   uint64_t last_attempt_ = 0;
   uint64_t latest_unix_s_ = 0;  // largest wall time seen
   // Claims minted at or before this time may have been forgotten: refused.
--- /dev/null
+++ b/src/once/crash_guard.cc
@@ -0,0 +1,164 @@
+#include "once/crash_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "once/idempotency_key.h"
+
+namespace rwf {
+namespace {
+
+wire::CrashSuspicionT Message(const Digest& fingerprint,
+                              const std::string& upstream, bool cleared) {
+  wire::CrashSuspicionT message;
+  message.fingerprint = fingerprint;
+  message.upstream = upstream;
+  message.cleared = cleared;
+  return message;
+}
+
+}  // namespace
+
+Digest CrashFingerprint(std::string_view workspace, std::string_view method,
+                        std::string_view path, std::string_view body) {
+  const Digest request = RequestDigest(method, path, body);
+  return ClaimDigest(workspace, ToHex(request));
+}
+
+void CrashGuard::OnSent(const std::string& upstream,
+                        const Digest& fingerprint) {
+  in_flight_[upstream].push_back(fingerprint);
+}
+
+std::vector<wire::CrashSuspicionT> CrashGuard::OnFinished(
+    const std::string& upstream, const Digest& fingerprint, bool success,
+    TimePoint now) {
+  const auto found = in_flight_.find(upstream);
+  if (found != in_flight_.end()) {
+    std::vector<Digest>& all = found->second;
+    const auto it = std::find(all.begin(), all.end(), fingerprint);
+    if (it != all.end()) {
+      *it = all.back();
+      all.pop_back();
+    }
+    if (all.empty()) in_flight_.erase(found);
+  }
+  if (!success || FindActive(fingerprint, now) == nullptr) return {};
+  Clear(fingerprint, now);
+  return {Message(fingerprint, upstream, true)};
+}
+
+std::vector<wire::CrashSuspicionT> CrashGuard::OnCrash(
+    const std::string& upstream, TimePoint now) {
+  const auto found = in_flight_.find(upstream);
+  if (found == in_flight_.end()) return {};
+  const std::vector<Digest> all = std::move(found->second);
+  in_flight_.erase(found);
+  std::vector<wire::CrashSuspicionT> out;
+  for (const Digest& fingerprint : all) {
+    if (!Suspect(fingerprint, upstream, now)) continue;
+    out.push_back(Message(fingerprint, upstream, false));
+  }
+  return out;
+}
+
+bool CrashGuard::OnMessage(const wire::CrashSuspicionT& message,
+                           TimePoint now) {
+  return message.cleared ? Clear(message.fingerprint, now)
+                         : Suspect(message.fingerprint, message.upstream, now);
+}
+
+const CrashGuard::Suspicion* CrashGuard::FindActive(const Digest& fingerprint,
+                                                    TimePoint now) const {
+  const auto it = suspicions_.find(fingerprint);
+  if (it == suspicions_.end() || it->second.cleared ||
+      now >= it->second.until) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+bool CrashGuard::IsBlocked(const Digest& fingerprint, TimePoint now) const {
+  const Suspicion* suspicion = FindActive(fingerprint, now);
+  return suspicion != nullptr &&
+         suspicion->upstreams.size() >= kInstancesToBlock;
+}
+
+bool CrashGuard::IsSuspect(const Digest& fingerprint, TimePoint now) const {
+  return FindActive(fingerprint, now) != nullptr;
+}
+
+bool CrashGuard::MaySend(const std::string& upstream, const Digest& fingerprint,
+                         TimePoint now) const {
+  if (!IsSuspect(fingerprint, now)) return true;
+  const auto found = in_flight_.find(upstream);
+  if (found == in_flight_.end()) return true;
+  return std::none_of(found->second.begin(), found->second.end(),
+                      [&](const Digest& other) {
+                        return other != fingerprint && IsSuspect(other, now);
+                      });
+}
+
+// True if the suspicion was news.
+bool CrashGuard::Suspect(const Digest& fingerprint, const std::string& upstream,
+                         TimePoint now) {
+  auto it = suspicions_.find(fingerprint);
+  if (it == suspicions_.end()) {
+    MakeRoom(now);
+    it = suspicions_.emplace(fingerprint, Suspicion{}).first;
+  }
+  Suspicion& suspicion = it->second;
+  if (suspicion.cleared && now - suspicion.cleared_at < kClearedMemory) {
+    return false;
+  }
+  if (suspicion.cleared || now >= suspicion.until) suspicion = Suspicion{};
+  std::vector<std::string>& upstreams = suspicion.upstreams;
+  if (upstreams.size() >= kInstancesToBlock ||
+      std::find(upstreams.begin(), upstreams.end(), upstream) !=
+          upstreams.end()) {
+    return false;
+  }
+  upstreams.push_back(upstream);
+  suspicion.until = now + kBlock;
+  return true;
+}
+
+// True if the fingerprint was not known to be clear.
+bool CrashGuard::Clear(const Digest& fingerprint, TimePoint now) {
+  auto it = suspicions_.find(fingerprint);
+  if (it == suspicions_.end()) {
+    MakeRoom(now);
+    it = suspicions_.emplace(fingerprint, Suspicion{}).first;
+  }
+  Suspicion& suspicion = it->second;
+  if (suspicion.cleared && now - suspicion.cleared_at < kClearedMemory) {
+    return false;
+  }
+  suspicion = Suspicion{};
+  suspicion.cleared = true;
+  suspicion.cleared_at = now;
+  suspicion.until = now + kClearedMemory;
+  return true;
+}
+
+void CrashGuard::MakeRoom(TimePoint now) {
+  if (suspicions_.size() < kMaxFingerprints) return;
+  OnTick(now);
+  if (suspicions_.size() < kMaxFingerprints) return;
+  // Blocked fingerprints stay as long as there are others.
+  const auto it = std::min_element(
+      suspicions_.begin(), suspicions_.end(), [](const auto& a, const auto& b) {
+        const auto rank = [](const Suspicion& s) {
+          return std::make_pair(s.upstreams.size(), s.until);
+        };
+        return rank(a.second) < rank(b.second);
+      });
+  suspicions_.erase(it);
+}
+
+void CrashGuard::OnTick(TimePoint now) {
+  std::erase_if(suspicions_,
+                [&](const auto& entry) { return now >= entry.second.until; });
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/once/idempotency_key.cc
@@ -0,0 +1,146 @@
+#include "once/idempotency_key.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace rwf {
+namespace {
+
+// Hexadecimal digits of the truncated HMAC: 128 bits.
+constexpr size_t kMacDigits = 32;
+constexpr size_t kMaxKey = 512;
+// The fleet secret signs other things too; the domain keeps them apart.
+constexpr std::string_view kDomain = "rwf idempotency key\n";
+
+constexpr int64_t kLifetimeSeconds = kKeyLifetime / std::chrono::seconds(1);
+constexpr int64_t kSkewSeconds = kKeyClockSkew / std::chrono::seconds(1);
+
+class Category : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "idempotency-key"; }
+  std::string message(int value) const override {
+    switch (static_cast<IdempotencyKeyErrc>(value)) {
+      case IdempotencyKeyErrc::kMalformed:
+        return "not of the form vm.incarnation.minted.mac.text";
+      case IdempotencyKeyErrc::kBadMac:
+        return "not signed with a secret of this fleet";
+      case IdempotencyKeyErrc::kFromFuture:
+        return "minted later than this VM's clock";
+      case IdempotencyKeyErrc::kExpired:
+        return "expired";
+    }
+    return "unknown error";
+  }
+};
+
+std::string Mac(std::string_view signed_part, std::string_view secret) {
+  std::string text(kDomain);
+  text += signed_part;
+  return ToHex(HmacSha256(secret, text)).substr(0, kMacDigits);
+}
+
+bool ParseNumber(std::string_view text, uint64_t* out) {
+  const char* const end = text.data() + text.size();
+  const auto [next, ec] = std::from_chars(text.data(), end, *out);
+  return ec == std::errc() && next == end;
+}
+
+// Appends the length before the text, so that no two lists of parts hash alike.
+void AppendPart(std::string* out, std::string_view part) {
+  *out += std::to_string(part.size());
+  *out += ':';
+  *out += part;
+}
+
+}  // namespace
+
+std::error_code make_error_code(IdempotencyKeyErrc code) {
+  static const Category kCategory;
+  return {static_cast<int>(code), kCategory};
+}
+
+std::string IdempotencyKey::MintPrefix(std::string_view vm,
+                                       uint64_t incarnation,
+                                       uint64_t minted_unix_s,
+                                       std::string_view secret) {
+  std::string text = fmt::format("{}.{}.{}", vm, incarnation, minted_unix_s);
+  const std::string mac = Mac(text, secret);
+  return text + "." + mac;
+}
+
+Result<IdempotencyKey> IdempotencyKey::Parse(
+    std::string_view text, const std::vector<std::string>& secrets,
+    WallTime wall) {
+  const auto malformed = [](const char* what) {
+    return Fail(IdempotencyKeyErrc::kMalformed,
+                fmt::format("idempotency key: {}", what));
+  };
+  if (text.size() > kMaxKey) return malformed("too long");
+  std::array<std::string_view, 4> parts;
+  std::string_view rest = text;
+  for (std::string_view& part : parts) {
+    const size_t dot = rest.find('.');
+    if (dot == std::string_view::npos) return malformed("too few parts");
+    part = rest.substr(0, dot);
+    rest.remove_prefix(dot + 1);
+  }
+  IdempotencyKey key;
+  key.vm = std::string(parts[0]);
+  key.suffix = std::string(rest);
+  if (key.vm.empty()) return malformed("no VM");
+  if (key.suffix.empty()) return malformed("no text of the caller");
+  if (key.suffix.size() > kMaxKeySuffix) return malformed("too long");
+  if (!std::all_of(text.begin(), text.end(),
+                   [](char c) { return c > ' ' && c < 0x7f; })) {
+    return malformed("characters other than printable ASCII");
+  }
+  if (!ParseNumber(parts[1], &key.incarnation) ||
+      !ParseNumber(parts[2], &key.minted_unix_s)) {
+    return malformed("incarnation or mint time is not a number");
+  }
+  const std::string_view signed_part =
+      text.substr(0, static_cast<size_t>(parts[2].end() - text.begin()));
+  const bool is_signed =
+      std::any_of(secrets.begin(), secrets.end(), [&](const auto& secret) {
+        return ConstantTimeEqual(parts[3], Mac(signed_part, secret));
+      });
+  if (!is_signed) {
+    return Fail(IdempotencyKeyErrc::kBadMac,
+                "idempotency key: wrong signature");
+  }
+  const int64_t now =
+      std::chrono::floor<std::chrono::seconds>(wall).time_since_epoch().count();
+  const auto minted = static_cast<int64_t>(key.minted_unix_s);
+  if (key.minted_unix_s > static_cast<uint64_t>(INT64_MAX / 2) ||
+      minted > now + kSkewSeconds) {
+    return Fail(IdempotencyKeyErrc::kFromFuture,
+                "idempotency key: minted in the future");
+  }
+  if (now - minted >= kLifetimeSeconds + kSkewSeconds) {
+    return Fail(IdempotencyKeyErrc::kExpired,
+                fmt::format("idempotency key: minted {} s ago, valid for {} s",
+                            now - minted, kLifetimeSeconds));
+  }
+  return key;
+}
+
+Digest ClaimDigest(std::string_view workspace, std::string_view key) {
+  std::string text;
+  AppendPart(&text, workspace);
+  AppendPart(&text, key);
+  return Sha256(text);
+}
+
+Digest RequestDigest(std::string_view method, std::string_view path,
+                     std::string_view body) {
+  std::string text;
+  AppendPart(&text, method);
+  AppendPart(&text, path);
+  AppendPart(&text, body);
+  return Sha256(text);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/tests/once/crash_guard_test.cc
@@ -0,0 +1,95 @@
+#include "once/crash_guard.h"
+
+#include <doctest/doctest.h>
+
+namespace rwf {
+namespace {
+
+using std::chrono::seconds;
+
+const Digest kPoison = Sha256("poison");
+const Digest kInnocent = Sha256("innocent");
+
+struct Fixture {
+  void Crash(const std::string& upstream,
+             const std::vector<Digest>& in_flight) {
+    for (const Digest& fingerprint : in_flight) {
+      guard.OnSent(upstream, fingerprint);
+    }
+    messages = guard.OnCrash(upstream, now);
+  }
+  CrashGuard guard;
+  TimePoint now{seconds(100)};
+  std::vector<wire::CrashSuspicionT> messages;
+};
+
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, crashes of two instances, block for 600 s") {
+  Crash("u1", {kPoison});
+  CHECK(messages.size() == 1);
+  Crash("u1", {kPoison});  // the same instance again
+  CHECK(messages.empty());
+  CHECK_FALSE(guard.IsBlocked(kPoison, now));
+  Crash("u2", {kPoison});
+  CHECK(guard.IsBlocked(kPoison, now));
+  CHECK(guard.IsBlocked(kPoison, now + seconds(599)));
+  CHECK_FALSE(guard.IsBlocked(kPoison, now + seconds(600)));
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, innocent succeeds after the crash, is cleared "
+                  "here and at peers") {
+  Crash("u1", {kPoison, kInnocent});
+  CrashGuard peer;
+  for (const auto& message : messages) CHECK(peer.OnMessage(message, now));
+  for (const auto& message : messages)
+    CHECK_FALSE(peer.OnMessage(message, now));
+  guard.OnSent("u2", kInnocent);
+  const auto cleared = guard.OnFinished("u2", kInnocent, true, now);
+  REQUIRE(cleared.size() == 1);
+  CHECK(peer.OnMessage(cleared[0], now));
+  // The flood of the suspicion arrives a second time, late.
+  for (const auto& message : messages) peer.OnMessage(message, now);
+  Crash("u3", {kPoison, kInnocent});
+  for (const auto& message : messages) peer.OnMessage(message, now);
+  CHECK(peer.IsBlocked(kPoison, now));
+  CHECK_FALSE(peer.IsBlocked(kInnocent, now));
+  CHECK_FALSE(guard.IsBlocked(kInnocent, now));
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, two suspects, may not share an instance") {
+  Crash("u1", {kPoison, kInnocent});
+  guard.OnSent("u2", kPoison);
+  CHECK_FALSE(guard.MaySend("u2", kInnocent, now));
+  CHECK(guard.MaySend("u3", kInnocent, now));
+  CHECK(guard.MaySend("u2", Sha256("third"), now));
+  guard.OnFinished("u2", kPoison, false, now);
+  CHECK(guard.MaySend("u2", kInnocent, now));
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, request finished before the crash, is not "
+                  "blamed") {
+  guard.OnSent("u1", kInnocent);
+  guard.OnFinished("u1", kInnocent, false, now);
+  Crash("u1", {kPoison});
+  CHECK_FALSE(guard.IsSuspect(kInnocent, now));
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, many suspicions, stays bounded and keeps the "
+                  "blocked one") {
+  Crash("u1", {kPoison});
+  Crash("u2", {kPoison});
+  for (size_t i = 0; i < CrashGuard::kMaxFingerprints + 20; ++i) {
+    Crash("u1", {Sha256(std::to_string(i))});
+  }
+  CHECK(guard.size() <= CrashGuard::kMaxFingerprints);
+  CHECK(guard.IsBlocked(kPoison, now));
+  guard.OnTick(now + seconds(600));
+  CHECK(guard.size() == 0);
+}
+
+}  // namespace
+}  // namespace rwf
