Add replica: configuration replica, store sync, writers and audit chain

Cause: an accepted configuration has to be in force everywhere within seconds and never revert, whatever the store, the network and the VMs do. Change: state machines over the interface Store. A manifest carries what its audit record states, so that any store watcher or the next writer completes a record whose writer died. A writer repeats its swap only on the same expected version. Backoff of the watchers ends at 750 ms, since a lost call of 2 s plus more backoff would miss the 3 s after an outage.

--- a/src/replica/call_budget.h
+++ b/src/replica/call_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <random>
 
 #include "base/time.h"
@@ -29,17 +30,19 @@
   uint64_t taken_ = 0;
 };
 
-// Jittered exponential backoff from kFirst to kLongest.
+// Jittered exponential backoff from kFirst to `longest`.
 class Backoff {
  public:
   static constexpr Duration kFirst = std::chrono::milliseconds(500);
-  static constexpr Duration kLongest = std::chrono::seconds(30);
+
+  explicit Backoff(Duration longest) : longest_(longest) {}
 
   // The time to wait after one more failure: between half and all of the step.
   Duration Next(Random& random);
   void Reset() { step_ = kFirst; }
 
  private:
+  Duration longest_;
   Duration step_ = kFirst;
 };
 
--- a/src/replica/config_replica.h
+++ b/src/replica/config_replica.h
@@ -99,7 +99,8 @@
     Digest digest;
   };
 
-  bool ConsiderManifest(const std::string& text, TimePoint now);
+  bool ConsiderManifest(const std::string& text, bool from_store,
+                        TimePoint now);
   bool ConsiderSection(const std::string& text);
   bool TryAdopt(TimePoint now);
   bool IsPaused(uint64_t generation, const Digest& digest, TimePoint now) const;
--- a/src/replica/config_writer.h
+++ b/src/replica/config_writer.h
@@ -20,6 +20,9 @@
   WallTime when{};
   uint64_t from_generation = 0;  // the change was made on this one
   SectionTexts sections;         // all sections of the new configuration
+  // The operation id was used before, and what came of it is not known. Then
+  // not reaching the store proves nothing about the earlier attempt.
+  bool repeated = false;
 };
 
 enum class ChangeOutcome { kAccepted, kRejected, kUnknown };
@@ -44,6 +47,9 @@
  public:
   // After this time the result is what is known by then.
   static constexpr Duration kLimit = std::chrono::seconds(10);
+  // A manifest older than the operator's copy is read again that many times,
+  // since the store may have given a stale answer.
+  static constexpr int kStaleReads = 3;
 
   // `done` is called once, from Tick or from an answer of the store. All
   // pointers outlive this object.
@@ -56,6 +62,10 @@
   void Tick(TimePoint now);
 
   bool finished() const { return phase_ == Phase::kFinished; }
+  // The manifest written. After kAccepted the VM offers it and the sections to
+  // its replica, so that the change spreads without waiting for a watch.
+  const Manifest& manifest() const { return manifest_; }
+  const ChangeRequest& request() const { return request_; }
 
  private:
   enum class Phase {
@@ -71,17 +81,29 @@
     kFinished
   };
 
+  // Makes the call of the phase.
   void Step(TimePoint now);
-  void Finish(ChangeResult result);
-  void Reject(std::string reason, TimePoint now);
-  void Retry(TimePoint now);
+  // A callback that runs `handler` unless the result is already out.
+  template <typename T>
+  Store::Callback<T> Answer(void (ConfigWriter::*handler)(const Result<T>&,
+                                                          TimePoint));
+  void OnManifest(const Result<StoreValue>& result, TimePoint now);
+  void OnPreviousAudit(const Result<StoreValue>& result, TimePoint now);
+  void OnPreviousAuditWritten(const Result<SwapOutcome>& result, TimePoint now);
+  void OnSectionWritten(const Result<SwapOutcome>& result, TimePoint now);
+  void OnSwapped(const Result<SwapOutcome>& result, TimePoint now);
+  void OnResolved(const Result<StoreValue>& result, TimePoint now);
+  void OnResolvedAudit(const Result<StoreValue>& result, TimePoint now);
+  void OnAuditWritten(const Result<SwapOutcome>& result, TimePoint now);
+  void OnRejectionWritten(const Result<SwapOutcome>& result, TimePoint now);
+
+  bool Prepare(std::string* problem);
   void Advance(Phase phase, TimePoint now);
-  template <typename T, typename Next>
-  Store::Callback<T> Guard(Next next);
-  void WriteRecord(const std::string& key, const std::string& text,
-                   Phase next_phase);
-  void OnManifest(const StoreValue& value, TimePoint now);
-  void OnResolved(const StoreValue& value, TimePoint now);
+  void Retry(Phase phase, TimePoint now);
+  void Accept(bool audited, TimePoint now);
+  void Reject(const std::string& reason, TimePoint now);
+  void Finish(const ChangeResult& result);
+  void GiveUp();
   std::string HowToFindOut() const;
 
   Store* store_;
@@ -92,9 +114,10 @@
   std::function<void(const ChangeResult&)> done_;
 
   Phase phase_ = Phase::kReadManifest;
-  Backoff backoff_;
+  Backoff backoff_{std::chrono::seconds(2)};
   bool waiting_ = false;  // for an answer
   bool maybe_committed_ = false;
+  int stale_reads_ = 0;
   TimePoint not_before_{};
   TimePoint deadline_{};
   uint64_t manifest_version_ = 0;
--- /dev/null
+++ b/src/replica/store.cc
@@ -0,0 +1,40 @@
+#include "replica/store.h"
+
+namespace rwf {
+namespace {
+
+class StoreCategory : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "store"; }
+  std::string message(int code) const override {
+    switch (static_cast<StoreErrc>(code)) {
+      case StoreErrc::kUnavailable:
+        return "the store is unavailable";
+      case StoreErrc::kConflict:
+        return "the lease is held by another holder";
+      case StoreErrc::kUnknownOutcome:
+        return "the outcome of the write is unknown";
+      case StoreErrc::kTooLarge:
+        return "the value is too large";
+      case StoreErrc::kThrottled:
+        return "the store throttles calls";
+      case StoreErrc::kBadAnswer:
+        return "the answer of the store can't be read";
+    }
+    return "unknown store error";
+  }
+};
+
+}  // namespace
+
+std::error_code make_error_code(StoreErrc code) {
+  static const StoreCategory kCategory;
+  return {static_cast<int>(code), kCategory};
+}
+
+bool IsOutcomeUnknown(const Error& error) {
+  return error.code == StoreErrc::kUnknownOutcome ||
+         error.code == StoreErrc::kBadAnswer;
+}
+
+}  // namespace rwf
--- a/src/replica/store_sync.h
+++ b/src/replica/store_sync.h
@@ -27,8 +27,10 @@
   StoreContact(std::string self, uint64_t first_sequence)
       : self_(std::move(self)), sequence_(first_sequence) {}
 
-  // The store answered a call of this VM.
-  void OnAnswer(TimePoint now);
+  // The store answered a call that this VM made at `asked_at`. What was read is
+  // at least as recent as that; the arrival of the answer may be much later,
+  // for instance after a pause.
+  void OnAnswer(TimePoint asked_at);
   // What a peer's heartbeat says.
   void OnHeartbeat(const wire::HeartbeatT& heartbeat, TimePoint now);
   // Fills the store contact fields of a heartbeat.
@@ -46,7 +48,7 @@
   std::string self_;
   uint64_t sequence_;
   std::unordered_map<std::string, Contact> contacts_;
-  const std::pair<const std::string, Contact>* newest_ = nullptr;
+  std::string newest_;  // VM of the most recent contact
 };
 
 // Keeps the configuration replica in step with the store. A watcher has one
@@ -55,14 +57,21 @@
 // record of the manifest in force when its writer did not.
 class StoreSync {
  public:
-  // The store is asked to answer a watch after this time; a watch that is
-  // silent for longer is given up and renewed.
-  static constexpr Duration kWatchTimeout = std::chrono::seconds(10);
-  static constexpr Duration kWatchGrace = std::chrono::seconds(2);
+  // The store is asked to answer a watch after kWatchTimeout; a watch that is
+  // silent for kWatchGrace more is given up and renewed.
+  static constexpr Duration kWatchTimeout = std::chrono::seconds(9);
+  static constexpr Duration kWatchGrace = std::chrono::seconds(1);
   // Other VMs poll when the last known contact is older than kQuietLimit, every
   // kPollPeriod, less up to half of it.
   static constexpr Duration kQuietLimit = std::chrono::seconds(25);
   static constexpr Duration kPollPeriod = std::chrono::seconds(30);
+  // Without a configuration the store is asked every kStartPeriod.
+  static constexpr Duration kStartPeriod = std::chrono::seconds(2);
+  // After an outage a change has to be in force within 3 s, of which a call
+  // that got lost takes Store::kCallTimeout. More backoff is not needed to
+  // protect the store: the call budget bounds the watchers, the poll period the
+  // others.
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(750);
   // A missing audit record is completed by a watcher this long after the
   // adoption, plus up to the same time.
   static constexpr Duration kAuditDelay = std::chrono::seconds(3);
@@ -89,23 +98,33 @@
   bool watcher() const { return watcher_; }
 
  private:
-  enum class Call { kNone, kWatch, kGet, kSection, kAudit };
+  enum class Call { kNone, kWatch, kGet, kSection, kAuditRead, kAuditWrite };
 
+  // Takes a call of the budget. False: not now.
   bool Begin(Call call, Duration give_up_after, TimePoint now);
-  // True if `number` is the call that is awaited. Notes the store contact.
+  // Notes that the call `number` was answered. False if it was given up before.
+  bool End(uint64_t number, TimePoint asked_at, const Error* error,
+           TimePoint now);
+  void Fail(TimePoint now);
+  // A callback that runs only while this object exists.
   template <typename T>
-  bool End(uint64_t number, const Result<T>& result, TimePoint now);
-  void OnManifest(uint64_t number, const Result<StoreValue>& result,
-                  TimePoint now);
-  void FetchSection(const Digest& digest, TimePoint now);
-  void CheckAudit(TimePoint now);
+  Store::Callback<T> Answer(void (StoreSync::*handler)(const T&, bool,
+                                                       TimePoint),
+                            TimePoint now);
+  void OnManifest(const StoreValue& value, bool awaited, TimePoint now);
+  void OnSection(const StoreValue& value, bool awaited, TimePoint now);
+  void OnAudit(const StoreValue& value, bool awaited, TimePoint now);
+  void OnAuditWritten(const SwapOutcome& outcome, bool awaited, TimePoint now);
+  bool FetchSection(TimePoint now);
+  bool CheckAudit(TimePoint now);
+  bool ReadManifest(TimePoint now);
 
   Store* store_;
   ConfigReplica* replica_;
   StoreContact* contact_;
   CallBudget* budget_;
   Random* random_;
-  Backoff backoff_;
+  Backoff backoff_{kLongestBackoff};
   bool watcher_ = false;
   Call call_ = Call::kNone;
   uint64_t call_number_ = 0;
@@ -113,11 +132,12 @@
   TimePoint not_before_{};
   std::optional<TimePoint> next_poll_;
   uint64_t manifest_version_ = 0;
+  bool fetching_ = false;  // sections of a manifest read here
   size_t next_section_ = 0;
-  uint64_t audit_generation_ = 0;  // known to be recorded, or being awaited
-  uint64_t audited_ = 0;
+  Manifest seen_;         // newest one read from the store
+  uint64_t audited_ = 0;  // generation whose audit record was seen
+  bool audit_missing_ = false;
   TimePoint audit_at_{};
-  std::string audit_text_;  // to be written
   Counters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/replica/withdrawal_writer.h
+++ b/src/replica/withdrawal_writer.h
@@ -26,6 +26,9 @@
   WithdrawalWriter(Store* store, CallBudget* budget, Random* random,
                    std::function<void(const std::set<Digest>&)> on_read);
 
+  // Called on the VM that took the withdrawal and on those that watch the
+  // store, so that it is not lost with the first VM during an outage of the
+  // store.
   void Add(const Digest& digest);
   // Called every 100 ms or so; makes at most one new call.
   void Tick(TimePoint now);
@@ -50,7 +53,7 @@
   bool waiting_ = false;
   bool full_ = false;
   TimePoint not_before_{};
-  Backoff backoff_;
+  Backoff backoff_{std::chrono::seconds(30)};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/membership/member_network.h
+++ b/tests/membership/member_network.h
@@ -3,13 +3,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "membership/failure_detector.h"
+#include "virtual_clock.h"
 
 namespace rwf {
 
@@ -67,7 +67,7 @@
       heartbeat->ready = true;
       heartbeat->store_contact_vm = "vm0";
     });
-    Schedule(now + Duration(random() % kTick.count()),
+    clock.At(now + Duration(random() % kTick.count()),
              [this, n, raw, detector = node.detector.get()] {
                Tick(n, raw, detector);
              });
@@ -92,16 +92,7 @@
     }
   }
 
-  void Run(Duration d) {
-    const TimePoint end = now + d;
-    while (!queue_.empty() && queue_.top().at <= end) {
-      Event event = std::move(const_cast<Event&>(queue_.top()));
-      queue_.pop();
-      now = event.at;
-      event.action();
-    }
-    now = end;
-  }
+  void Run(Duration d) { clock.Run(d); }
 
   size_t Count(MemberEventKind kind) const {
     size_t n = 0;
@@ -128,14 +119,12 @@
     return last;
   }
 
-  void Schedule(TimePoint at, std::function<void()> action) {
-    queue_.push({at, ++order_, std::move(action)});
-  }
   size_t links() const { return up_.size(); }
 
   Config config;
   std::vector<Node> nodes;
-  TimePoint now = TimePoint{std::chrono::seconds(1000)};
+  VirtualClock clock;
+  TimePoint& now = clock.now;
   std::mt19937_64 random;
   double loss = 0;
   Duration latency = std::chrono::milliseconds(1);
@@ -146,25 +135,16 @@
   };
 
  private:
-  struct Event {
-    TimePoint at;
-    uint64_t order;
-    std::function<void()> action;
-    bool operator<(const Event& other) const {
-      return std::tie(at, order) > std::tie(other.at, other.order);
-    }
-  };
-
   void Tick(size_t n, Node* node, FailureDetector* detector) {
     if (node->detector.get() != detector) return;
     if (node->paused_until > now) {
-      Schedule(node->paused_until, [=, this] { Tick(n, node, detector); });
+      clock.At(node->paused_until, [=, this] { Tick(n, node, detector); });
       return;
     }
     Send(n, detector->Tick(now));
     Connect(n);
     Collect(node);
-    Schedule(now + kTick, [=, this] { Tick(n, node, detector); });
+    clock.At(now + kTick, [=, this] { Tick(n, node, detector); });
   }
 
   void Connect(size_t n) {
@@ -205,7 +185,7 @@
       if (loss > 0 && std::uniform_real_distribution<double>()(random) < loss) {
         continue;
       }
-      Schedule(now + latency + Duration(random() % jitter.count()),
+      clock.At(now + latency + Duration(random() % jitter.count()),
                [=, this] { Deliver(from, to, shared, bytes); });
     }
   }
@@ -215,7 +195,7 @@
     Node& node = nodes[to];
     if (!node.running) return;
     if (node.paused_until > now) {
-      Schedule(node.paused_until + std::chrono::milliseconds(1),
+      clock.At(node.paused_until + std::chrono::milliseconds(1),
                [=, this] { Deliver(from, to, body, bytes); });
       return;
     }
@@ -245,9 +225,7 @@
   std::map<std::string, size_t> index_;
   std::set<std::pair<size_t, size_t>> up_;
   std::map<std::pair<size_t, size_t>, TimePoint> next_try_;
-  std::priority_queue<Event> queue_;
   std::vector<std::unique_ptr<FailureDetector>> retired_;
-  uint64_t order_ = 0;
 };
 
 }  // namespace rwf
--- /dev/null
+++ b/tests/replica/fake_store.h
@@ -0,0 +1,284 @@
+#pragma once
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "replica/store.h"
+#include "virtual_clock.h"
+
+namespace rwf {
+
+// The store in memory, on virtual time, with faults.
+class FakeStore {
+ public:
+  struct Faults {
+    bool down = false;          // connections are refused
+    bool silent_watch = false;  // no watch is ever answered
+    Duration latency = std::chrono::milliseconds(2);
+    // Probabilities, by call.
+    double lose_request = 0;
+    double late_write = 0;  // of lost writes that take effect up to 5 s later
+    double lose_answer = 0;
+    double stale_read = 0;
+    double throttle = 0;
+    // The same for the call of this number (the first is 1).
+    uint64_t lose_request_of = 0;
+    uint64_t lose_answer_of = 0;
+    bool lost_writes_late = false;  // they take effect 3 s later
+  };
+
+  FakeStore(VirtualClock* clock, uint64_t seed)
+      : clock_(clock), random_(seed) {}
+
+  // What stands there now, without a call.
+  StoreValue Read(const std::string& key) const {
+    const auto it = values_.find(key);
+    return it == values_.end() ? StoreValue{} : it->second.back();
+  }
+  // Replaces a value as an outside fault would.
+  void Write(const std::string& key, const std::string& value) {
+    values_[key].push_back({value, ++version_});
+    EndWatches();
+  }
+  std::vector<std::string> Keys(const std::string& prefix) const {
+    std::vector<std::string> out;
+    for (const auto& [key, versions] : values_) {
+      if (key.starts_with(prefix)) out.push_back(key);
+    }
+    return out;
+  }
+  uint64_t calls() const { return calls_; }
+
+  Faults faults;
+  std::vector<PlatformVm> vms;
+
+ private:
+  friend class FakeStoreClient;
+
+  struct Watcher {
+    std::string key;
+    uint64_t after = 0;
+    std::function<void(bool connected)> end;
+  };
+
+  bool Happens(double probability) {
+    return probability > 0 &&
+           std::uniform_real_distribution<double>()(random_) < probability;
+  }
+
+  StoreValue Get(const std::string& key) {
+    const auto it = values_.find(key);
+    if (it == values_.end()) return {};
+    if (!Happens(faults.stale_read)) return it->second.back();
+    const size_t n = random_() % (it->second.size() + 1);
+    return n == 0 ? StoreValue{} : it->second[n - 1];
+  }
+
+  Result<SwapOutcome> Swap(const std::string& key, uint64_t expected,
+                           const std::string& value) {
+    if (value.size() > Store::kMaxValueBytes) {
+      return Fail(StoreErrc::kTooLarge, key);
+    }
+    const uint64_t current = Read(key).version;
+    if (current != expected) return SwapOutcome{false, current};
+    Write(key, value);
+    return SwapOutcome{true, version_};
+  }
+
+  void EndWatches() {
+    for (auto it = watchers_.begin(); it != watchers_.end();) {
+      if (Read(it->key).version == it->after) {
+        ++it;
+        continue;
+      }
+      const auto end = std::move(it->end);
+      it = watchers_.erase(it);
+      end(true);
+    }
+  }
+
+  VirtualClock* clock_;
+  std::mt19937_64 random_;
+  std::map<std::string, std::vector<StoreValue>> values_;
+  std::map<std::string, std::pair<StoreLease, TimePoint>> leases_;
+  std::list<Watcher> watchers_;
+  uint64_t version_ = 0;
+  uint64_t token_ = 0;
+  uint64_t calls_ = 0;
+};
+
+// The connection of one VM to a FakeStore.
+class FakeStoreClient : public Store {
+ public:
+  FakeStoreClient(FakeStore* server, VirtualClock* clock)
+      : server_(server), clock_(clock) {}
+
+  // A partition from the store: calls under way and new ones time out.
+  bool connected = true;
+
+  void Get(const std::string& key, Callback<StoreValue> done) override {
+    Call<StoreValue>(
+        false,
+        [server = server_, key]() -> Result<StoreValue> {
+          return server->Get(key);
+        },
+        std::move(done));
+  }
+  void CompareAndSwap(const std::string& key, uint64_t expected_version,
+                      const std::string& value, const std::string&,
+                      Callback<SwapOutcome> done) override {
+    Call<SwapOutcome>(
+        true,
+        [=, server = server_] {
+          return server->Swap(key, expected_version, value);
+        },
+        std::move(done));
+  }
+  void List(const std::string& prefix, const std::string& after, size_t limit,
+            Callback<StorePage> done) override {
+    Call<StorePage>(
+        false,
+        [=, server = server_]() -> Result<StorePage> {
+          StorePage out;
+          for (const std::string& key : server->Keys(prefix)) {
+            if (key <= after) continue;
+            out.more = out.entries.size() == limit;
+            if (out.more) break;
+            out.entries.push_back({key, server->Read(key)});
+          }
+          return out;
+        },
+        std::move(done));
+  }
+  void Watch(const std::string& key, uint64_t after_version, Duration timeout,
+             Callback<StoreValue> done) override {
+    const bool lost = server_->Happens(server_->faults.lose_answer);
+    Call<StoreValue>(
+        false,
+        [server = server_]() -> Result<StoreValue> { return StoreValue{}; },
+        [=, this](const Result<StoreValue>& begun, TimePoint now) {
+          if (!begun) return done(begun, now);
+          if (server_->faults.silent_watch) return;
+          auto ended = std::make_shared<bool>(false);
+          const auto end = [=, this](bool answered) {
+            if (std::exchange(*ended, true)) return;
+            if (!answered || !connected || lost) {
+              clock_->After(kCallTimeout, [=, this] {
+                done(Fail(StoreErrc::kUnavailable, key), clock_->now);
+              });
+              return;
+            }
+            const StoreValue value = server_->Read(key);
+            clock_->After(server_->faults.latency / 2,
+                          [=, this] { done(value, clock_->now); });
+          };
+          server_->watchers_.push_back({key, after_version, end});
+          clock_->After(timeout, [=] { end(true); });
+          server_->EndWatches();
+        });
+  }
+  void Acquire(const std::string& name, const std::string& holder, Duration ttl,
+               Callback<StoreLease> done) override {
+    Call<StoreLease>(
+        true,
+        [=, this]() -> Result<StoreLease> {
+          auto& [lease, until] = server_->leases_[name];
+          if (until > clock_->now && lease.holder != holder) {
+            return Fail(StoreErrc::kConflict, lease.holder);
+          }
+          lease = {name, holder, ++server_->token_, ttl};
+          until = clock_->now + ttl;
+          return lease;
+        },
+        std::move(done));
+  }
+  void Renew(const StoreLease& lease, Callback<StoreLease> done) override {
+    Call<StoreLease>(
+        true,
+        [=, this]() -> Result<StoreLease> {
+          auto& [held, until] = server_->leases_[lease.name];
+          if (held != lease || until <= clock_->now) {
+            return Fail(StoreErrc::kConflict, held.holder);
+          }
+          until = clock_->now + lease.ttl;
+          return held;
+        },
+        std::move(done));
+  }
+  void Release(const StoreLease& lease, Callback<bool> done) override {
+    Call<bool>(
+        true,
+        [=, this]() -> Result<bool> {
+          auto& [held, until] = server_->leases_[lease.name];
+          if (held != lease) return false;
+          until = {};
+          return true;
+        },
+        std::move(done));
+  }
+  void ListVms(Callback<std::vector<PlatformVm>> done) override {
+    Call<std::vector<PlatformVm>>(
+        false,
+        [server = server_]() -> Result<std::vector<PlatformVm>> {
+          return server->vms;
+        },
+        std::move(done));
+  }
+
+ private:
+  template <typename T>
+  void Call(bool is_write, std::function<Result<T>()> execute,
+            Callback<T> done) {
+    FakeStore& server = *server_;
+    const FakeStore::Faults& faults = server.faults;
+    ++server.calls_;
+    const auto fail = [=, this](StoreErrc code, Duration after) {
+      clock_->After(after, [=, this] {
+        done(Fail(code, "fault of the fake store"), clock_->now);
+      });
+    };
+    const auto lost = [&] {
+      fail(is_write ? StoreErrc::kUnknownOutcome : StoreErrc::kUnavailable,
+           kCallTimeout);
+    };
+    const Duration half = faults.latency / 2;
+    if (!connected) return lost();
+    if (faults.down) return fail(StoreErrc::kUnavailable, half);
+    if (server.Happens(faults.throttle)) {
+      return fail(StoreErrc::kThrottled, half);
+    }
+    if (server.Happens(faults.lose_request) ||
+        server.calls_ == faults.lose_request_of) {
+      if (is_write && server.Happens(faults.late_write)) {
+        clock_->After(std::chrono::milliseconds(server.random_() % 5000),
+                      [execute] { (void)execute(); });
+      }
+      if (is_write && faults.lost_writes_late) {
+        clock_->After(std::chrono::seconds(3), [execute] { (void)execute(); });
+      }
+      return lost();
+    }
+    const bool answer_lost = server.Happens(faults.lose_answer) ||
+                             server.calls_ == faults.lose_answer_of;
+    clock_->After(half, [=, this] {
+      const Result<T> result = execute();
+      if (answer_lost || !connected) {
+        fail(is_write ? StoreErrc::kUnknownOutcome : StoreErrc::kUnavailable,
+             kCallTimeout - half);
+        return;
+      }
+      clock_->After(half, [=, this] { done(result, clock_->now); });
+    });
+  }
+
+  FakeStore* server_;
+  VirtualClock* clock_;
+};
+
+}  // namespace rwf
