Add rwf-load, the callers that prove what the system promises

Cause: promises about duplicates, losses, refusals and workspaces need callers that record what they were told and compare it with what ran.

--- /dev/null
+++ b/tools/load/load_generator.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "load/load_ledger.h"
+#include "load/load_plan.h"
+#include "load/lookup_cache.h"
+#include "load/offered_rate.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+namespace rwf {
+
+struct LoadOptions {
+  double load = 0.5;  // of each workspace's rate
+  std::string hot_workspace;
+  double hot_factor = 8;
+  uint64_t seed = 1;
+  Duration timeout = std::chrono::seconds(3);
+  // Requests go straight to the upstreams.
+  bool is_direct = false;
+  // Callers that send one request after the other, in place of arrivals at the
+  // workspaces' rates.
+  int64_t closed_callers = 0;
+  // A request with this text in its body is sent again and again.
+  std::string poison;
+  Duration poison_after = std::chrono::seconds(5);
+  int64_t clients_per_workspace = 4;
+};
+
+// Callers of all workspaces. Their requests and what they were told end up in
+// the ledger.
+class LoadGenerator {
+ public:
+  static constexpr int kMaxAttempts = 3;
+  // The answer of the other side may take so long beyond its deadline.
+  static constexpr Duration kGrace = std::chrono::milliseconds(300);
+  static constexpr Duration kInProgressPause = std::chrono::milliseconds(100);
+  static constexpr Duration kPoisonPeriod = std::chrono::seconds(1);
+
+  // `plan` and `ledger` must outlive the generator.
+  LoadGenerator(EventLoop* loop, const LoadPlan* plan,
+                const LoadOptions& options, LoadLedger* ledger);
+  LoadGenerator(const LoadGenerator&) = delete;
+  LoadGenerator& operator=(const LoadGenerator&) = delete;
+  ~LoadGenerator();
+
+  // Begins to send.
+  void Start();
+  // Sends no new requests; calls back when the open ones have ended.
+  void Finish(std::function<void()> on_done);
+
+  const LookupCache& lookups() const { return lookups_; }
+
+ private:
+  struct Caller {
+    const LoadPlan::Workspace* workspace;
+    OfferedRate offered;
+    std::vector<std::string> client_addresses;
+    TimePoint next_arrival{};
+    double rate = 0;
+    std::unique_ptr<Timer> timer;
+  };
+  struct Call {
+    uint64_t id = 0;
+    CallRecord record;
+    Caller* caller = nullptr;
+    const LoadPlan::Service* service = nullptr;
+    const LoadPlan::Route* route = nullptr;
+    HttpRequest request;
+    TimePoint started{};
+    TimePoint deadline{};
+    std::string client_address;
+    std::vector<EntryChoice> choices;
+    size_t next_choice = 0;
+    std::string idempotency_key;
+    // Some attempt may have begun to run.
+    bool may_have_run = false;
+    bool is_within_rate = true;
+    std::unique_ptr<Timer> pause;
+  };
+
+  void ScheduleArrival(Caller* caller);
+  void StartCall(Caller* caller, bool is_poison);
+  void BuildRequest(Call* call);
+  void Choose(Call* call, const std::vector<EntryChoice>& choices);
+  void Attempt(uint64_t id);
+  void HandleOutcome(uint64_t id, const HttpOutcome& outcome);
+  AttemptEnd Classify(Call* call, const HttpOutcome& outcome);
+  void AttemptAfter(Call* call, Duration pause);
+  void EndCall(Call* call);
+  std::string RandomAddress();
+  template <typename T>
+  const T& PickWeighted(const std::vector<T>& all);
+
+  EventLoop* loop_;
+  const LoadPlan* plan_;
+  LoadOptions options_;
+  LoadLedger* ledger_;
+  HttpClient client_;
+  LookupCache lookups_;
+  std::mt19937_64 random_;
+  std::string run_id_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::map<uint64_t, std::unique_ptr<Call>> calls_;
+  uint64_t next_call_ = 0;
+  bool is_finishing_ = false;
+  std::function<void()> on_done_;
+  std::unique_ptr<Timer> poison_timer_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/load/load_ledger.cc
@@ -0,0 +1,158 @@
+#include "load/load_ledger.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace rwf {
+namespace {
+
+double Percentile(std::vector<double> values, double fraction) {
+  if (values.empty()) return 0;
+  const auto n = static_cast<size_t>(
+      std::ceil(fraction * static_cast<double>(values.size())));
+  const auto nth =
+      values.begin() + static_cast<std::ptrdiff_t>(std::max<size_t>(n, 1) - 1);
+  std::nth_element(values.begin(), nth, values.end());
+  return std::round(*nth * 100) / 100;
+}
+
+}  // namespace
+
+const char* ToldName(Told told) {
+  static constexpr std::array<const char*, 4> kNames = {"answered", "not-run",
+                                                        "unknown", "nothing"};
+  return kNames[static_cast<size_t>(told)];
+}
+
+Told ToldBy(const std::vector<AttemptEnd>& attempts) {
+  const auto has = [&](AttemptEnd end) {
+    return std::find(attempts.begin(), attempts.end(), end) != attempts.end();
+  };
+  if (has(AttemptEnd::kAnswered)) return Told::kAnswered;
+  if (has(AttemptEnd::kUnknown) || has(AttemptEnd::kInProgress))
+    return Told::kUnknown;
+  // After a broken attempt, "not run" speaks only for the attempt it answers.
+  if (has(AttemptEnd::kNotRun))
+    return has(AttemptEnd::kBroken) ? Told::kUnknown : Told::kNotRun;
+  return Told::kNothing;
+}
+
+Verdict Judge(const CallRecord& call, const std::vector<RunRecord>& runs) {
+  Verdict out;
+  out.told = ToldBy(call.attempts);
+  const bool is_answered = out.told == Told::kAnswered;
+  const bool has_completed =
+      std::any_of(runs.begin(), runs.end(),
+                  [](const RunRecord& it) { return it.is_completed; });
+  const auto is_foreign = [&](const std::string& workspace) {
+    return workspace != call.workspace && !(call.is_open && workspace.empty());
+  };
+  out.is_duplicated = !call.is_idempotent && runs.size() > 1;
+  out.is_lost = out.told == Told::kNothing ||
+                (is_answered && !call.is_idempotent && !has_completed);
+  out.is_false_not_run = out.told == Told::kNotRun && !runs.empty();
+  out.is_broken_answer =
+      is_answered && (!call.answer || call.answer->load_id != call.load_id);
+  out.is_cross_workspace = std::any_of(runs.begin(), runs.end(),
+                                       [&](const RunRecord& it) {
+                                         return is_foreign(it.workspace);
+                                       }) ||
+                           (call.answer && is_foreign(call.answer->workspace));
+  return out;
+}
+
+const std::vector<RunRecord>& LoadLedger::RunsOf(
+    const std::string& load_id) const {
+  static const std::vector<RunRecord> kNone;
+  const auto it = runs_.find(load_id);
+  return it == runs_.end() ? kNone : it->second;
+}
+
+Json LoadLedger::Summary() const {
+  std::map<std::string, int64_t> n = {{"sent", 0},
+                                      {"answered", 0},
+                                      {"refused_not_run", 0},
+                                      {"refused_within_rate", 0},
+                                      {"unknown", 0},
+                                      {"duplicated", 0},
+                                      {"lost", 0},
+                                      {"false_not_run", 0},
+                                      {"cross_workspace", 0},
+                                      {"broken_answers", 0},
+                                      {"attempts", 0},
+                                      {"poison_sent", 0}};
+  std::map<std::string, std::vector<double>> latencies;
+  std::vector<double> all;
+  std::map<std::string, int64_t> codes;
+  for (const CallRecord& call : calls_) {
+    const Verdict verdict = Judge(call, RunsOf(call.load_id));
+    n["duplicated"] += verdict.is_duplicated ? 1 : 0;
+    n["false_not_run"] += verdict.is_false_not_run ? 1 : 0;
+    n["cross_workspace"] += verdict.is_cross_workspace ? 1 : 0;
+    n["broken_answers"] += verdict.is_broken_answer ? 1 : 0;
+    if (call.is_poison) {
+      ++n["poison_sent"];
+      continue;
+    }
+    ++n["sent"];
+    n["attempts"] += static_cast<int64_t>(call.attempts.size());
+    n["lost"] += verdict.is_lost ? 1 : 0;
+    n["refused_within_rate"] += call.was_limited_within_rate ? 1 : 0;
+    if (verdict.told == Told::kNotRun) ++n["refused_not_run"];
+    if (verdict.told == Told::kUnknown) ++n["unknown"];
+    if (verdict.told != Told::kAnswered) {
+      if (!call.code.empty()) ++codes[call.code];
+      continue;
+    }
+    ++n["answered"];
+    all.push_back(call.latency_ms);
+    latencies[call.workspace].push_back(call.latency_ms);
+  }
+  Json out = n;
+  out["refusal_codes"] = codes;
+  out["p50_ms"] = Percentile(all, 0.5);
+  out["p99_ms"] = Percentile(all, 0.99);
+  out["p99_ms_by_workspace"] = Json::object();
+  for (auto& [workspace, values] : latencies) {
+    out["p99_ms_by_workspace"][workspace] = Percentile(values, 0.99);
+  }
+  return out;
+}
+
+std::string LoadLedger::Lines() const {
+  static constexpr std::array<const char*, 6> kEnds = {
+      "answered",    "not-run",        "unknown",
+      "in-progress", "connect-failed", "broken"};
+  std::string out;
+  for (const CallRecord& call : calls_) {
+    const std::vector<RunRecord>& runs = RunsOf(call.load_id);
+    const Verdict verdict = Judge(call, runs);
+    Json line = {{"load_id", call.load_id},
+                 {"workspace", call.workspace},
+                 {"service", call.service},
+                 {"idempotent", call.is_idempotent},
+                 {"open", call.is_open},
+                 {"poison", call.is_poison},
+                 {"told", ToldName(verdict.told)},
+                 {"code", call.code},
+                 {"vm", call.vm},
+                 {"instance", call.answer ? call.answer->instance : ""},
+                 {"latency_ms", call.latency_ms},
+                 {"started_ms", call.started_ms},
+                 {"ended_ms", call.ended_ms},
+                 {"duplicated", verdict.is_duplicated},
+                 {"lost", verdict.is_lost},
+                 {"false_not_run", verdict.is_false_not_run},
+                 {"cross_workspace", verdict.is_cross_workspace},
+                 {"broken_answer", verdict.is_broken_answer},
+                 {"limited_within_rate", call.was_limited_within_rate}};
+    for (const AttemptEnd it : call.attempts)
+      line["attempts"].push_back(kEnds[static_cast<size_t>(it)]);
+    for (const RunRecord& it : runs) line["ran_at"].push_back(it.instance);
+    out += line.dump() + "\n";
+  }
+  return out;
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/load/load_plan.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/json_reader.h"
+#include "net/http_client.h"
+
+namespace rwf {
+
+// What the load generator needs of a configuration.
+struct LoadPlan {
+  struct Route {
+    std::string method;
+    std::string prefix;
+    bool is_idempotent = true;
+    bool is_open = false;
+    Duration max_timeout{};
+    double weight = 1;
+  };
+  struct Service {
+    std::string name;
+    std::vector<Route> routes;
+    std::vector<HttpTarget> upstreams;
+    double weight = 0;  // slots of all upstreams
+  };
+  struct Workspace {
+    std::string name;
+    double rate = 0;
+    double burst = 0;
+    std::string key;
+  };
+  struct EntryVm {
+    std::string id;
+    HttpTarget target;
+  };
+  struct Block {
+    uint32_t address = 0;
+    int prefix_length = 0;
+  };
+
+  std::vector<Service> services;
+  std::vector<Workspace> workspaces;
+  std::vector<EntryVm> entry_vms;
+  std::vector<Block> client_blocks;
+};
+
+// Reads a configuration document and a file of keys {workspace: key}. Members
+// that the load generator does not use are passed over: checking them is the
+// business of `rwf check`.
+Result<LoadPlan> ReadLoadPlan(const Json& config, const Json& keys);
+
+}  // namespace rwf
--- /dev/null
+++ b/tools/rwf_load.cc
@@ -0,0 +1,213 @@
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "common/tool.h"
+#include "load/load_generator.h"
+#include "load/load_ledger.h"
+#include "load/load_plan.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Upstreams notice a closed connection a moment after the caller has left.
+constexpr Duration kSettleTime = milliseconds(500);
+constexpr Duration kAdminTimeout = std::chrono::seconds(20);
+
+// "127.0.0.1:7901" as a target.
+HttpTarget ParseTarget(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    ExitWith(2, fmt::format("rwf-load: '{}' is not ADDRESS:PORT", text));
+  return {text.substr(0, colon), static_cast<uint16_t>(std::strtoul(
+                                     text.c_str() + colon + 1, nullptr, 10))};
+}
+
+// Reads the ledgers and counters of all upstream processes.
+class ProofCollector {
+ public:
+  ProofCollector(EventLoop* loop, std::vector<HttpTarget> admins,
+                 LoadLedger* ledger)
+      : loop_(loop),
+        client_(loop, {.max_response_bytes = 256 << 20}),
+        admins_(std::move(admins)),
+        ledger_(ledger) {}
+
+  void Start() { FetchPage(0, 0); }
+
+  int64_t leaked_keys() const { return leaked_keys_; }
+  const std::string& failure() const { return failure_; }
+
+ private:
+  void FetchPage(size_t admin, size_t from) {
+    if (admin == admins_.size()) return loop_->Stop();
+    Get(admin, "/ledger", fmt::format("from={}", from),
+        [this, admin, from](const std::string& body) {
+          const size_t n = ReadRuns(body);
+          if (n == 0) return FetchStats(admin);
+          FetchPage(admin, from + n);
+        });
+  }
+
+  void FetchStats(size_t admin) {
+    Get(admin, "/stats", "", [this, admin](const std::string& body) {
+      const Json stats = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+      leaked_keys_ += stats.value("/total/leaked_keys"_json_pointer, 0);
+      FetchPage(admin + 1, 0);
+    });
+  }
+
+  void Get(size_t admin, const std::string& path, const std::string& query,
+           const std::function<void(const std::string&)>& next) {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.query = query;
+    client_.Send(admins_[admin], request, kAdminTimeout,
+                 [this, path, next](const HttpOutcome& outcome) {
+                   if (!outcome.ec && outcome.response.status == 200)
+                     return next(outcome.response.body);
+                   failure_ =
+                       fmt::format("GET {}: {}", path, outcome.ec.message());
+                   loop_->Stop();
+                 });
+  }
+
+  size_t ReadRuns(const std::string& body) {
+    std::istringstream in(body);
+    size_t n = 0;
+    for (std::string line; std::getline(in, line); ++n) {
+      const Json run = Json::parse(line, nullptr, /*allow_exceptions=*/false);
+      ledger_->AddRun(run.at("load_id"),
+                      {run.at("instance"), run.at("workspace"),
+                       run.at("state") == "completed"});
+    }
+    return n;
+  }
+
+  EventLoop* loop_;
+  HttpClient client_;
+  std::vector<HttpTarget> admins_;
+  LoadLedger* ledger_;
+  int64_t leaked_keys_ = 0;
+  std::string failure_;
+};
+
+LoadPlan ReadPlan(const cxxopts::ParseResult& args) {
+  for (const char* name : {"config", "keys"}) {
+    if (args.count(name) == 0)
+      ExitWith(2, fmt::format("rwf-load: --{} is needed", name));
+  }
+  const auto config = ReadJsonFile(args["config"].as<std::string>());
+  if (!config) ExitWith(2, "rwf-load: " + config.error().message);
+  const auto keys = ReadJsonFile(args["keys"].as<std::string>());
+  if (!keys) ExitWith(2, "rwf-load: " + keys.error().message);
+  auto plan = ReadLoadPlan(*config, *keys);
+  if (!plan) ExitWith(2, "rwf-load: " + plan.error().message);
+  return *std::move(plan);
+}
+
+LoadOptions ReadOptions(const cxxopts::ParseResult& args) {
+  LoadOptions out;
+  out.load = args["load"].as<double>();
+  out.hot_workspace = args["hot"].as<std::string>();
+  out.hot_factor = args["hot-factor"].as<double>();
+  out.seed = args["seed"].as<uint64_t>();
+  out.timeout = milliseconds(args["timeout-ms"].as<int64_t>());
+  out.is_direct = args["direct"].as<bool>();
+  out.closed_callers = args["closed"].as<int64_t>();
+  out.poison = args["poison"].as<std::string>();
+  out.poison_after = FromSeconds(args["poison-after"].as<double>());
+  out.clients_per_workspace = args["clients"].as<int64_t>();
+  return out;
+}
+
+int RunLoad(Tool* tool, const cxxopts::ParseResult& args) {
+  const LoadPlan plan = ReadPlan(args);
+  const LoadOptions options = ReadOptions(args);
+  std::vector<HttpTarget> admins;
+  for (const auto& it : args["upstream-admin"].as<std::vector<std::string>>())
+    admins.push_back(ParseTarget(it));
+
+  EventLoop loop;
+  LoadLedger ledger;
+  LoadGenerator generator(&loop, &plan, options, &ledger);
+  ProofCollector proofs(&loop, admins, &ledger);
+  fmt::print(stderr, "rwf-load: {} workspaces, {} services, no port bound\n",
+             plan.workspaces.size(), plan.services.size());
+  const TimePoint started = EventLoop::Now();
+  generator.Start();
+  const auto end = loop.After(FromSeconds(args["seconds"].as<double>()),
+                              [&loop] { loop.Stop(); });
+  tool->StopLoopOnRequest(&loop);
+  loop.Run();
+  const double seconds = ToSeconds(EventLoop::Now() - started);
+  generator.Finish([&loop] { loop.Stop(); });
+  loop.Run();
+  const auto settle = loop.After(kSettleTime, [&proofs] { proofs.Start(); });
+  loop.Run();
+
+  if (args.count("log") > 0) {
+    std::ofstream(args["log"].as<std::string>()) << ledger.Lines();
+  }
+  Json summary = ledger.Summary();
+  summary["leaked_keys"] = proofs.leaked_keys();
+  summary["seconds"] = seconds;
+  summary["lookups"] = generator.lookups().lookups();
+  summary["lookup_failures"] = generator.lookups().failures();
+  summary["requests_per_second"] =
+      seconds > 0 ? summary["answered"].get<double>() / seconds : 0;
+  if (!proofs.failure().empty()) summary["failure"] = proofs.failure();
+  fmt::print("{}\n", summary.dump());
+  bool is_kept = proofs.failure().empty();
+  for (const char* name :
+       {"duplicated", "lost", "false_not_run", "cross_workspace", "leaked_keys",
+        "broken_answers"}) {
+    is_kept = is_kept && summary[name] == 0;
+  }
+  return is_kept ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace rwf
+
+int main(int argc, char** argv) {
+  rwf::Tool tool("rwf-load",
+                 "Callers of all workspaces, for tests. Prints one JSON line; "
+                 "exit code 1 if a promise was broken.");
+  tool.Add()("config", "configuration document", cxxopts::value<std::string>(),
+             "FILE")("keys", "JSON object {workspace: key}",
+                     cxxopts::value<std::string>(),
+                     "FILE")("seconds", "length of the run",
+                             cxxopts::value<double>()->default_value("10"))(
+      "load", "part of each workspace's rate to send",
+      cxxopts::value<double>()->default_value("0.5"))(
+      "hot", "workspace that sends more",
+      cxxopts::value<std::string>()->default_value(""),
+      "WORKSPACE")("hot-factor", "how many times more",
+                   cxxopts::value<double>()->default_value("8"))(
+      "seed", "seed of arrivals and mix",
+      cxxopts::value<uint64_t>()->default_value("1"))(
+      "timeout-ms", "deadline of a request",
+      cxxopts::value<int64_t>()->default_value("3000"))(
+      "clients", "client addresses of each workspace",
+      cxxopts::value<int64_t>()->default_value("4"))(
+      "direct", "send to the upstreams, with no system in between")(
+      "closed", "this many callers, each one request at a time",
+      cxxopts::value<int64_t>()->default_value("0"))(
+      "poison", "text in the body of a request sent every second",
+      cxxopts::value<std::string>()->default_value(""),
+      "TEXT")("poison-after", "seconds until the first such request",
+              cxxopts::value<double>()->default_value("5"))(
+      "upstream-admin", "admin port of rwf-upstream",
+      cxxopts::value<std::vector<std::string>>()->default_value(
+          "127.0.0.1:7901"),
+      "ADDRESS:PORT")("log", "write every request as a JSON line",
+                      cxxopts::value<std::string>(), "FILE");
+  const auto& args = tool.Parse(argc, argv);
+  return rwf::RunLoad(&tool, args);
+}
