Add the questionnaire, the example sites and the operators' program

Cause: teams describe their site in a questionnaire, and operators need one program to check, compare and change configurations without undoing each other's changes or repeating one whose outcome is unknown. Change: GenerateConfig with the two example sites at their real sizes; rwf with init, check, diff, apply, show, history, key, drain, move, status and explain, each a class over an Endpoint interface; OperatorClient by evhttp. A lost response leads to a question for the outcome, never to a second post; a lost race is tried again at most 3 times by key add, drain and move. CMake: tests/NAME of a program also gets programs/NAME/*.cc. Measured: build, lint and ctest pass (base, config, rwf; 4.3 s); rwf init and check run on both examples (rates 80 % of the slots). The HTTP commands ran against fakes only, since the daemon's endpoint does not exist yet; the client also ran against an evhttp server on loopback. Conclusion: to be tried against the daemon once its endpoint is there.

--- /dev/null
+++ b/programs/rwf/apply_command.cc
@@ -0,0 +1,55 @@
+#include "rwf/apply_command.h"
+
+#include <fmt/format.h>
+
+#include <ostream>
+
+#include "rwf/config_change.h"
+
+namespace rwf {
+
+ApplyCommand::ApplyCommand()
+    : Command("apply", "FILE", "Put a configuration file into force") {}
+
+void ApplyCommand::AddFlags(cxxopts::OptionAdder* flags) {
+  AddEndpointFlags(flags);
+  (*flags)("expect",
+           "Generation to replace; by default the one that the file was made "
+           "from",
+           cxxopts::value<uint64_t>());
+  (*flags)("force", "Apply in spite of refusals that can be forced");
+}
+
+int ApplyCommand::Execute(const Input& input, Environment* environment) {
+  if (input.arguments.size() != 1)
+    return BadUsage("expected one configuration file", environment);
+  const auto config = ReadConfigFile(input.arguments[0]);
+  if (!config) return Report(config.error(), environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+
+  // A file carries the generation it was shown at, so that a change made since
+  // then is not undone unseen. The first one of a site has nothing to replace.
+  uint64_t expected = (*config)->generation;
+  if (input.flags.count("expect") > 0) {
+    expected = input.flags["expect"].as<uint64_t>();
+  } else if (expected <= 1) {
+    const auto in_force = FetchInForce(endpoint.get());
+    if (!in_force) return Report(in_force.error(), environment);
+    if (in_force->generation == 0) expected = 0;
+  }
+  const ChangeRequest request{input.Text("who"), "apply " + input.arguments[0],
+                              input.flags.count("force") > 0, input.Json()};
+  bool lost_race = false;
+  const int status = PostConfig(endpoint.get(), request, **config, expected,
+                                environment, &lost_race);
+  if (lost_race)
+    environment->err << fmt::format(
+        "rwf: rejected: the file was made from generation {}, which is no "
+        "longer in force\nTake over the other change (rwf show --json, rwf "
+        "diff) and apply again.\n",
+        expected);
+  return status;
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/apply_command.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "rwf/command.h"
+
+namespace rwf {
+
+// Puts a configuration file into force.
+class ApplyCommand : public Command {
+ public:
+  ApplyCommand();
+
+ protected:
+  void AddFlags(cxxopts::OptionAdder* flags) override;
+  int Execute(const Input& input, Environment* environment) override;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/diff_command.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "rwf/command.h"
+
+namespace rwf {
+
+// Shows what changed between two configuration files.
+class DiffCommand : public Command {
+ public:
+  DiffCommand();
+
+ protected:
+  int Execute(const Input& input, Environment* environment) override;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/drain_command.cc
@@ -0,0 +1,107 @@
+#include "rwf/drain_command.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ostream>
+
+#include "config/codec.h"
+#include "config/validator.h"
+#include "rwf/config_change.h"
+
+namespace rwf {
+namespace {
+
+// Share of all slots of a service taken as busy. Measured load would be better,
+// but one VM sees its own only, and it lags.
+constexpr double kAssumedUse = 0.8;
+
+const DrainKind* FindKind(const std::string& text) {
+  static constexpr DrainKind kKinds[] = {DrainKind::kUpstream, DrainKind::kZone,
+                                         DrainKind::kRegion,
+                                         DrainKind::kEntryVm};
+  const auto it =
+      std::find_if(std::begin(kKinds), std::end(kKinds),
+                   [&](DrainKind kind) { return text == ToText(kind); });
+  return it == std::end(kKinds) ? nullptr : it;
+}
+
+// One line for each service whose slots outside of drains could not carry its
+// load.
+std::string FindOverload(const Config& config) {
+  std::string out;
+  for (const Service& service : config.services) {
+    int64_t all = 0;
+    int64_t remaining = 0;
+    for (const Upstream& it : service.upstreams) {
+      all += it.slots;
+      if (!IsUpstreamDraining(config, it)) remaining += it.slots;
+    }
+    const double needed = kAssumedUse * static_cast<double>(all);
+    if (static_cast<double>(remaining) < needed)
+      out += fmt::format(
+          "  {} would keep {} of {} slots, about {:.0f} are needed\n",
+          service.name, remaining, all, needed);
+  }
+  return out;
+}
+
+}  // namespace
+
+DrainCommand::DrainCommand()
+    : Command("drain", "start|stop KIND ID",
+              "Take an upstream, zone, region or entry_vm out of new work") {}
+
+void DrainCommand::AddFlags(cxxopts::OptionAdder* flags) {
+  AddEndpointFlags(flags);
+  (*flags)("force", "Drain although the remaining slots may not suffice");
+}
+
+int DrainCommand::Execute(const Input& input, Environment* environment) {
+  const auto& arguments = input.arguments;
+  const bool is_start = !arguments.empty() && arguments[0] == "start";
+  const bool is_stop = !arguments.empty() && arguments[0] == "stop";
+  if ((!is_start && !is_stop) || arguments.size() != 3)
+    return BadUsage("expected start or stop, a kind and an id", environment);
+  const DrainKind* kind = FindKind(arguments[1]);
+  if (kind == nullptr)
+    return BadUsage(
+        fmt::format("found kind {}, expected upstream, zone, region or "
+                    "entry_vm",
+                    arguments[1]),
+        environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  const Drain drain{*kind, arguments[2]};
+  const bool force = input.flags.count("force") > 0;
+  const ChangeRequest request{
+      input.Text("who"), fmt::format("drain {}", fmt::join(arguments, " ")),
+      force, input.Json()};
+  return EditConfig(
+      endpoint.get(), request,
+      [&](Config* config) -> int {
+        auto& drains = config->drains;
+        const auto it = std::find(drains.begin(), drains.end(), drain);
+        if (is_stop) {
+          if (it == drains.end()) {
+            environment->err << fmt::format("rwf: {} {} is not draining\n",
+                                            arguments[1], arguments[2]);
+            return kRefused;
+          }
+          drains.erase(it);
+          return kDone;
+        }
+        drains.push_back(drain);
+        // A drain of an entry VM leaves all slots: peers borrow its share.
+        if (force || drain.kind == DrainKind::kEntryVm) return kDone;
+        const std::string overload = FindOverload(*config);
+        if (overload.empty()) return kDone;
+        environment->err << "rwf: the remaining slots could not carry the "
+                            "load:\n"
+                         << overload << "--force drains nevertheless.\n";
+        return kRefused;
+      },
+      environment);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/environment.cc
@@ -0,0 +1,15 @@
+#include "rwf/environment.h"
+
+namespace rwf {
+
+ExitStatus StatusOf(const Error& error) {
+  if (error.code == EndpointErrc::kUnreachable ||
+      error.code == EndpointErrc::kFailed)
+    return kUnknown;
+  if (error.code == EndpointErrc::kUnauthorized ||
+      error.code == EndpointErrc::kRefused)
+    return kRefused;
+  return kBadInput;
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/environment.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <iosfwd>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+#include "rwf/endpoint.h"
+
+namespace rwf {
+
+// Exit status of the program.
+enum ExitStatus : int {
+  kDone = 0,
+  kRefused = 1,   // refused here or rejected by the endpoint
+  kBadInput = 2,  // bad usage or bad input
+  kUnknown = 3,   // outcome unknown, or nothing reached
+};
+
+// The exit status that a failure stands for.
+ExitStatus StatusOf(const Error& error);
+
+// What commands use of the world around them. Tests put fakes here.
+struct Environment {
+  std::ostream& out;
+  std::ostream& err;
+  std::function<std::unique_ptr<Endpoint>(const std::string& url,
+                                          const std::string& token)>
+      connect;
+  std::function<void(Duration)> sleep;
+  std::function<std::string()> make_key;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/key_command.cc
@@ -0,0 +1,171 @@
+#include "rwf/key_command.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ostream>
+
+#include "base/digest.h"
+#include "rwf/config_change.h"
+#include "rwf/table.h"
+
+namespace rwf {
+namespace {
+
+Workspace* FindWorkspace(Config* config, const std::string& name) {
+  const auto it =
+      std::find_if(config->workspaces.begin(), config->workspaces.end(),
+                   [&](const Workspace& w) { return w.name == name; });
+  return it == config->workspaces.end() ? nullptr : &*it;
+}
+
+// Digest from its text, from a key file or from the key itself.
+Result<Digest> ReadDigest(const Input& input) {
+  Digest digest;
+  if (input.flags.count("key-file") > 0) {
+    auto key = ReadFile(input.Text("key-file"));
+    if (!key) return tl::unexpected<Error>(key.error());
+    key->erase(key->find_last_not_of(" \t\r\n") + 1);
+    return Sha256(*key);
+  }
+  if (input.arguments.size() == 2 && FromHex(input.arguments[1], &digest))
+    return digest;
+  return Fail(std::make_error_code(std::errc::invalid_argument),
+              "expected a digest of 64 hexadecimal characters or --key-file");
+}
+
+}  // namespace
+
+KeyCommand::KeyCommand()
+    : Command("key", "add WORKSPACE|withdraw DIGEST|list",
+              "Add, withdraw and list keys") {}
+
+void KeyCommand::AddFlags(cxxopts::OptionAdder* flags) {
+  AddEndpointFlags(flags);
+  (*flags)("key-file",
+           "File with the key to add or withdraw; without it, add makes a new "
+           "key",
+           cxxopts::value<std::string>());
+}
+
+int KeyCommand::Execute(const Input& input, Environment* environment) {
+  const std::string action = input.arguments.empty() ? "" : input.arguments[0];
+  const size_t n = input.arguments.size();
+  if (action == "add" && n == 2) return Add(input, environment);
+  if (action == "withdraw" && n <= 2) return Withdraw(input, environment);
+  if (action == "list" && n == 1) return List(input, environment);
+  return BadUsage("expected add WORKSPACE, withdraw DIGEST or list",
+                  environment);
+}
+
+int KeyCommand::Add(const Input& input, Environment* environment) {
+  const std::string& name = input.arguments[1];
+  const bool is_new = input.flags.count("key-file") == 0;
+  const std::string key = is_new ? environment->make_key() : "";
+  const auto digest = is_new ? Result<Digest>(Sha256(key)) : ReadDigest(input);
+  if (!digest) return Report(digest.error(), environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  const ChangeRequest request{
+      input.Text("who"), fmt::format("key add {} {}", name, ToHex(*digest)),
+      false, input.Json()};
+  const int status = EditConfig(
+      endpoint.get(), request,
+      [&](Config* config) -> int {
+        Workspace* workspace = FindWorkspace(config, name);
+        if (workspace == nullptr) {
+          environment->err << fmt::format("rwf: unknown workspace {}\n", name);
+          return kBadInput;
+        }
+        const auto& withdrawn = config->withdrawn_keys;
+        if (std::find(withdrawn.begin(), withdrawn.end(), *digest) !=
+            withdrawn.end()) {
+          environment->err << "rwf: the key was withdrawn; a withdrawal is "
+                              "never taken back\n";
+          return kRefused;
+        }
+        workspace->keys.push_back(*digest);
+        return kDone;
+      },
+      environment);
+  // With an unknown outcome the key may be in force, so it is shown as well.
+  if (is_new && (status == kDone || status == kUnknown)) {
+    environment->out << (input.Json()
+                             ? Json{{"workspace", name}, {"key", key}}.dump()
+                             : fmt::format("key (shown once): {}", key))
+                     << '\n';
+  }
+  return status;
+}
+
+int KeyCommand::Withdraw(const Input& input, Environment* environment) const {
+  const auto digest = ReadDigest(input);
+  if (!digest) return BadUsage(digest.error().message, environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  // Withdrawals only add to a set, so repeating one is harmless.
+  const auto response = endpoint->Post("/v1/keys/withdraw",
+                                       {{"digest", ToHex(*digest)},
+                                        {"who", input.Text("who")},
+                                        {"operation_id", MakeOperationId()}});
+  if (!response) {
+    const int status = Report(response.error(), environment);
+    if (status == kUnknown)
+      environment->err << "The key may still be in force. Repeat the command, "
+                          "with another endpoint if need be.\n";
+    return status;
+  }
+  if (!response->contains("vms") || !response->at("vms").is_array())
+    return Report({EndpointErrc::kFailed, "the response has no vms"},
+                  environment);
+  std::vector<std::string> unconfirmed;
+  Table table({"VM", "ZONE", "CONFIRMED"});
+  for (const Json& it : response->at("vms")) {
+    const bool confirmed = CellText(it, "confirmed") == "true";
+    if (!confirmed) unconfirmed.push_back(CellText(it, "id"));
+    table.AddRow(
+        {CellText(it, "id"), CellText(it, "zone"), confirmed ? "yes" : "NO"});
+  }
+  if (input.Json())
+    environment->out << response->dump() << '\n';
+  else
+    table.Print(environment->out);
+  if (unconfirmed.empty()) return kDone;
+  environment->err << fmt::format(
+      "rwf: not confirmed by {}. The key still works there until the VM hears "
+      "of the withdrawal or its staleness limit ends. Repeat the command to "
+      "ask again.\n",
+      fmt::join(unconfirmed, ", "));
+  return kUnknown;
+}
+
+int KeyCommand::List(const Input& input, Environment* environment) {
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  const auto in_force = FetchInForce(endpoint.get());
+  if (!in_force) return Report(in_force.error(), environment);
+  const Config config =
+      in_force->config == nullptr ? Config{} : *in_force->config;
+  Json list = Json::array();
+  Table table({"WORKSPACE", "DIGEST", "STATE"});
+  for (const Workspace& workspace : config.workspaces) {
+    for (const Digest& it : workspace.keys) {
+      const auto& withdrawn = config.withdrawn_keys;
+      const char* state =
+          std::find(withdrawn.begin(), withdrawn.end(), it) == withdrawn.end()
+              ? "in force"
+              : "withdrawn";
+      table.AddRow({workspace.name, ToHex(it), state});
+      list.push_back({{"workspace", workspace.name},
+                      {"digest", ToHex(it)},
+                      {"state", state}});
+    }
+  }
+  if (input.Json())
+    environment->out << list.dump() << '\n';
+  else
+    table.Print(environment->out);
+  return kDone;
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/move_command.cc
@@ -0,0 +1,124 @@
+#include "rwf/move_command.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ostream>
+
+#include "config/codec.h"
+#include "rwf/config_change.h"
+
+namespace rwf {
+namespace {
+
+// What an action does to a move, and in which states it may.
+struct Action {
+  const char* name;
+  std::vector<MoveState> from;
+  MoveState to;
+};
+
+const Action* FindAction(const std::string& name) {
+  using enum MoveState;
+  static const Action kActions[] = {
+      {"start", {kPaused}, kRunning},
+      {"pause", {kRunning}, kPaused},
+      {"resume", {kPaused}, kRunning},
+      {"stop", {kRunning, kPaused}, kStopped},
+  };
+  const auto it =
+      std::find_if(std::begin(kActions), std::end(kActions),
+                   [&](const Action& action) { return action.name == name; });
+  return it == std::end(kActions) ? nullptr : it;
+}
+
+// The move that the flags of `start` describe.
+Move NewMove(const Input& input, const std::string& id) {
+  Move out;
+  out.id = id;
+  out.service = input.Text("service");
+  out.from = input.Text("from");
+  out.to = input.Text("to");
+  out.percent = input.flags["percent"].as<double>();
+  out.step_percent = input.flags["step-percent"].as<double>();
+  out.cap_percent = input.flags["cap-percent"].as<double>();
+  out.step_interval =
+      std::chrono::seconds(input.flags["step-interval-s"].as<uint32_t>());
+  out.state = MoveState::kRunning;
+  return out;
+}
+
+}  // namespace
+
+MoveCommand::MoveCommand()
+    : Command("move", "start|pause|resume|stop ID",
+              "Start, pause, resume and stop moves") {}
+
+void MoveCommand::AddFlags(cxxopts::OptionAdder* flags) {
+  AddEndpointFlags(flags);
+  const auto text = [] { return cxxopts::value<std::string>(); };
+  const auto number = [](const char* fallback) {
+    return cxxopts::value<double>()->default_value(fallback);
+  };
+  (*flags)("service", "Service of a new move", text());
+  (*flags)("from", "Zone whose clients a new move shifts", text());
+  (*flags)("to", "Zone that a new move shifts them to", text());
+  (*flags)("percent", "Share of the clients, in the end", number("100"));
+  (*flags)("step-percent", "Share of the clients at each step", number("10"));
+  (*flags)("cap-percent", "Busy share of the target's slots for a step",
+           number("80"));
+  (*flags)("step-interval-s", "Shortest time between two steps",
+           cxxopts::value<uint32_t>()->default_value("30"));
+}
+
+int MoveCommand::Execute(const Input& input, Environment* environment) {
+  if (input.arguments.size() != 2)
+    return BadUsage("expected an action and the id of a move", environment);
+  const Action* action = FindAction(input.arguments[0]);
+  if (action == nullptr)
+    return BadUsage(fmt::format("found {}, expected start, pause, resume or "
+                                "stop",
+                                input.arguments[0]),
+                    environment);
+  const std::string& id = input.arguments[1];
+  const auto is_given = [&](const char* flag) {
+    return input.flags.count(flag) > 0;
+  };
+  const bool is_new = is_given("service");
+  if (is_new &&
+      (input.arguments[0] != "start" || !is_given("from") || !is_given("to")))
+    return BadUsage("a new move needs start, --service, --from and --to",
+                    environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  const ChangeRequest request{input.Text("who"),
+                              fmt::format("move {} {}", input.arguments[0], id),
+                              false, input.Json()};
+  return EditConfig(
+      endpoint.get(), request,
+      [&](Config* config) -> int {
+        const auto it =
+            std::find_if(config->moves.begin(), config->moves.end(),
+                         [&](const Move& move) { return move.id == id; });
+        if (is_new) {
+          // A second move of this id is found by the check before posting.
+          config->moves.push_back(NewMove(input, id));
+          return kDone;
+        }
+        if (it == config->moves.end()) {
+          environment->err << fmt::format("rwf: unknown move {}\n", id);
+          return kBadInput;
+        }
+        if (std::find(action->from.begin(), action->from.end(), it->state) ==
+            action->from.end()) {
+          environment->err << fmt::format("rwf: move {} is {}, cannot {} it\n",
+                                          id, ToText(it->state), action->name);
+          return kRefused;
+        }
+        it->state = action->to;
+        return kDone;
+      },
+      environment);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/show_command.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "rwf/command.h"
+
+namespace rwf {
+
+// Shows the configuration in force.
+class ShowCommand : public Command {
+ public:
+  ShowCommand();
+
+ protected:
+  void AddFlags(cxxopts::OptionAdder* flags) override;
+  int Execute(const Input& input, Environment* environment) override;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/status_command.cc
@@ -0,0 +1,100 @@
+#include "rwf/status_command.h"
+
+#include <fmt/format.h>
+
+#include <ostream>
+
+#include "rwf/table.h"
+
+namespace rwf {
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(500);
+
+// VMs that have not confirmed the generation. One that has left takes no
+// requests any more; a dead one may be cut off and still serve.
+std::vector<std::string> BehindOf(const Json& vms, uint64_t generation) {
+  std::vector<std::string> out;
+  for (const Json& it : vms) {
+    if (CellText(it, "state") == "left") continue;
+    const bool has_it = it.is_object() && it.contains("generation") &&
+                        it["generation"].is_number_integer() &&
+                        it["generation"].get<uint64_t>() >= generation;
+    if (!has_it)
+      out.push_back(fmt::format("{} ({}, generation {})", CellText(it, "id"),
+                                CellText(it, "state"),
+                                CellText(it, "generation")));
+  }
+  return out;
+}
+
+void Print(const Json& status, bool is_json, std::ostream& out) {
+  if (is_json) {
+    out << status.dump() << '\n';
+    return;
+  }
+  out << fmt::format("generation {}, digest {}\n",
+                     CellText(status, "generation"),
+                     CellText(status, "digest"));
+  Table table({"VM", "ZONE", "STATE", "GENERATION", "READY", "LEAVING",
+               "STORE CONTACT MS AGO"});
+  for (const Json& it : status.at("vms")) {
+    table.AddRow({CellText(it, "id"), CellText(it, "zone"),
+                  CellText(it, "state"), CellText(it, "generation"),
+                  CellText(it, "ready"), CellText(it, "leaving"),
+                  CellText(it, "store_contact_age_ms")});
+  }
+  table.Print(out);
+}
+
+}  // namespace
+
+StatusCommand::StatusCommand()
+    : Command("status", "", "Show the VMs, or wait for a generation") {}
+
+void StatusCommand::AddFlags(cxxopts::OptionAdder* flags) {
+  AddEndpointFlags(flags);
+  (*flags)("wait", "Wait until this generation is in force on every VM",
+           cxxopts::value<uint64_t>());
+  (*flags)("timeout-s", "Longest time to wait",
+           cxxopts::value<uint32_t>()->default_value("60"));
+}
+
+int StatusCommand::Execute(const Input& input, Environment* environment) {
+  if (!input.arguments.empty())
+    return BadUsage("expected no arguments", environment);
+  const auto endpoint = Connect(input, environment);
+  if (endpoint == nullptr) return kBadInput;
+  const bool waits = input.flags.count("wait") > 0;
+  const uint64_t generation = waits ? input.flags["wait"].as<uint64_t>() : 0;
+  Duration left = std::chrono::seconds(input.flags["timeout-s"].as<uint32_t>());
+  for (;;) {
+    const auto status = endpoint->Get("/v1/status");
+    const bool is_listed =
+        status && status->contains("vms") && status->at("vms").is_array();
+    if (status && !is_listed)
+      return Report({EndpointErrc::kFailed, "the response has no vms"},
+                    environment);
+    // While it waits, an endpoint that restarts is no reason to give up.
+    if (!status && (!waits || left <= Duration::zero() ||
+                    StatusOf(status.error()) != kUnknown))
+      return Report(status.error(), environment);
+    const auto behind = status ? BehindOf(status->at("vms"), generation)
+                               : std::vector<std::string>{};
+    if (status && (!waits || behind.empty())) {
+      Print(*status, input.Json(), environment->out);
+      return kDone;
+    }
+    if (left <= Duration::zero()) {
+      Print(*status, input.Json(), environment->out);
+      environment->err << fmt::format(
+          "rwf: generation {} is not confirmed by {}\n", generation,
+          fmt::join(behind, ", "));
+      return kUnknown;
+    }
+    environment->sleep(kPollInterval);
+    left -= kPollInterval;
+  }
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/programs/rwf/status_command.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "rwf/command.h"
+
+namespace rwf {
+
+// Shows the VMs, or waits until a generation is in force on all of them.
+class StatusCommand : public Command {
+ public:
+  StatusCommand();
+
+ protected:
+  void AddFlags(cxxopts::OptionAdder* flags) override;
+  int Execute(const Input& input, Environment* environment) override;
+};
+
+}  // namespace rwf
