Split slots house-monotone; state when entry_vms may change

Change: slots are split by the D'Hondt method, whose parts never shrink when slots are added, so VMs on different slot numbers stay within the largest; MayChangeList tells when entry_vms may change, so that no VM passes over a list.

--- a/src/rates/share_ledger.cc
+++ b/src/rates/share_ledger.cc
@@ -117,7 +117,7 @@
       return {window_.LinkShare(vm, resource.region, whole.rate),
               window_.LinkShare(vm, resource.region, whole.capacity)};
     case wire::ResourceKind::kUpstreamSlots:
-      return {0, window_.SlotShare(vm, resource.name)};
+      return {0, window_.SlotShare(vm, resource.name, resource.whole.capacity)};
   }
   return {};
 }
@@ -197,6 +197,11 @@
   Settle(now);
 }
 
+bool ShareLedger::MayChangeList(const std::vector<std::string>& retiring,
+                                TimePoint now) const {
+  return window_.IsSettled(retiring, now);
+}
+
 void ShareLedger::Settle(TimePoint now) {
   if (window_.Settle(refusals_, now)) RefreshShares(now);
 }
--- a/src/rates/share_ledger.h
+++ b/src/rates/share_ledger.h
@@ -91,6 +91,15 @@
   // larger share last. To be announced to all peers.
   uint64_t ConfirmedGeneration(TimePoint now);
 
+  // Whether the next generation may change entry_vms, and retire the VMs given:
+  // true once all VMs have confirmed the list in force. To be asked on a VM
+  // that has the newest generation in force, before that change is written.
+  // Such a change may leave out only VMs that were retired or had weight 0.
+  // With both rules no VM passes over a list, on which the bound depends. An
+  // instance that moves to another zone must get a new id.
+  bool MayChangeList(const std::vector<std::string>& retiring,
+                     TimePoint now) const;
+
   // Peers to borrow from, best first (own zone first). Without a call: all
   // entry VMs of the configuration, own zone first.
   void SetNeighbours(std::vector<std::string> peers);
--- a/src/rates/share_window.cc
+++ b/src/rates/share_window.cc
@@ -45,11 +45,6 @@
     add(&lists.by_zone[vm.zone], vm);
     add(&lists.by_region[lists.region_of_zone[vm.zone]], vm);
   }
-  for (const Service& service : config.services) {
-    for (const Upstream& upstream : service.upstreams) {
-      lists.instances[upstream.id] = {upstream.zone, upstream.slots};
-    }
-  }
   return lists;
 }
 
@@ -61,14 +56,21 @@
     retired[vm.id] = it == retired_.end() ? now : it->second;
   }
   retired_ = std::move(retired);
+  zone_of_instance_.clear();
+  for (const Service& service : config.services) {
+    for (const Upstream& upstream : service.upstreams) {
+      zone_of_instance_[upstream.id] = upstream.zone;
+    }
+  }
   Lists lists = Build(config);
   if (lists_.empty()) {
     baseline_ = since == 0 ? config.generation : since;
+    lists.first_generation = baseline_;
     lists_.push_back(std::move(lists));
     return;
   }
   const Lists& newest = lists_.back();
-  if (newest.ring == lists.ring && newest.instances == lists.instances &&
+  if (newest.ring == lists.ring &&
       newest.region_of_zone == lists.region_of_zone) {
     return;
   }
@@ -133,6 +135,25 @@
   return changed;
 }
 
+bool ShareWindow::IsSettled(const std::vector<std::string>& retiring,
+                            TimePoint now) const {
+  if (lists_.empty()) return false;
+  const auto is_retiring = [&](const std::string& vm) {
+    return std::find(retiring.begin(), retiring.end(), vm) != retiring.end();
+  };
+  const auto none_missing = [&](const Lists& lists, uint64_t generation) {
+    const std::vector<std::string> missing =
+        Unconfirmed(lists, generation, now);
+    return std::all_of(missing.begin(), missing.end(), is_retiring);
+  };
+  if (blocked_ && !none_missing(lists_.front(), baseline_)) return false;
+  // VMs that are only in the newest list may still run an older one.
+  const uint64_t newest = lists_.back().first_generation;
+  return std::all_of(lists_.begin(), lists_.end(), [&](const Lists& lists) {
+    return none_missing(lists, newest);
+  });
+}
+
 int64_t ShareWindow::WeightIn(const Group& group, const std::string& vm) {
   for (const auto& [id, weight] : group.members) {
     if (id == vm) return weight;
@@ -164,28 +185,34 @@
 }
 
 int64_t ShareWindow::SlotShare(const std::string& vm,
-                               const std::string& upstream) const {
-  if (blocked_ || lists_.empty()) return 0;
-  if (!lists_.back().instances.contains(upstream)) return 0;
-  int64_t least = INT64_MAX;
+                               const std::string& upstream,
+                               int64_t slots) const {
+  const auto zone = zone_of_instance_.find(upstream);
+  if (blocked_ || zone == zone_of_instance_.end()) return 0;
+  int64_t least = slots;
   for (const Lists& lists : lists_) {
-    const auto it = lists.instances.find(upstream);
-    if (it == lists.instances.end()) continue;  // Nobody has slots of it there.
-    const Group& group = lists.Owners(it->second.zone);
-    // Starting each instance at another VM spreads the remainders.
+    const Group& group = lists.Owners(zone->second);
     const size_t n = group.members.size();
-    const size_t first = n == 0 ? 0 : Hash64(upstream) % n;
-    int64_t before = 0;
-    int64_t share = 0;
-    for (size_t i = 0; i < n; ++i) {
-      const auto& [id, weight] = group.members[(first + i) % n];
-      if (id == vm) {
-        share = FloorShare(it->second.slots, before + weight, group.total) -
-                FloorShare(it->second.slots, before, group.total);
+    if (WeightIn(group, vm) == 0) return 0;
+    // Each slot goes to the member with the most weight for each slot it would
+    // then have (the D'Hondt method), so that no part shrinks when slots are
+    // added. Starting each instance at another member spreads the remainders.
+    const size_t first = Hash64(upstream) % n;
+    std::vector<int64_t> parts(n, 0);
+    for (int64_t slot = 0; slot < slots; ++slot) {
+      size_t best = first;
+      for (size_t step = 1; step < n; ++step) {
+        const size_t i = (first + step) % n;
+        if (group.members[i].second * (parts[best] + 1) >
+            group.members[best].second * (parts[i] + 1)) {
+          best = i;
+        }
       }
-      before += weight;
+      ++parts[best];
+    }
+    for (size_t i = 0; i < n; ++i) {
+      if (group.members[i].first == vm) least = std::min(least, parts[i]);
     }
-    least = std::min(least, share);
   }
   return least;
 }
@@ -256,10 +283,10 @@
   std::vector<std::string> out;
   if (lists_.empty()) return out;
   const Lists& lists = lists_.back();
-  const auto it = lists.instances.find(upstream);
-  if (it == lists.instances.end()) return out;
+  const auto it = zone_of_instance_.find(upstream);
+  if (it == zone_of_instance_.end()) return out;
   const size_t n = lists.ring.size();
-  for (const auto& member : lists.Owners(it->second.zone).members) {
+  for (const auto& member : lists.Owners(it->second).members) {
     out.push_back(member.first);
     out.push_back(lists.ring[(lists.IndexOf(member.first) + 1) % n].id);
   }
--- a/src/rates/share_window.h
+++ b/src/rates/share_window.h
@@ -18,6 +18,10 @@
 // may still have in force. The part is the smallest over these lists: all VMs
 // then use no more than their part by the oldest list in force anywhere, and
 // those parts sum to at most the whole.
+//
+// This holds if no VM can pass over a list: a configuration may change
+// entry_vms (or the region of a zone) only while IsSettled, and may leave out
+// only VMs that were retired or had weight 0.
 class ShareWindow {
  public:
   explicit ShareWindow(std::string vm_id);
@@ -38,8 +42,10 @@
   int64_t RateShare(const std::string& vm, int64_t amount) const;
   int64_t LinkShare(const std::string& vm, const std::string& region,
                     int64_t amount) const;
-  // Slots of an instance that `vm` owns. The parts sum exactly to its slots.
-  int64_t SlotShare(const std::string& vm, const std::string& upstream) const;
+  // Slots that `vm` owns of an instance with `slots`. By one list the parts sum
+  // exactly to the whole, and none shrinks when `slots` grows.
+  int64_t SlotShare(const std::string& vm, const std::string& upstream,
+                    int64_t slots) const;
 
   // VMs whose share this VM may use, and until when: those that by each list
   // precede it on the ring with only absent VMs between.
@@ -57,24 +63,20 @@
   // the ring after each, which inherits them.
   std::vector<std::string> SlotHolders(const std::string& upstream) const;
   const std::string& RegionOf(const std::string& zone) const;
-  bool IsSettled() const { return lists_.size() == 1 && !blocked_; }
+  // True if only the newest list is in force anywhere, apart from VMs in
+  // `retiring`.
+  bool IsSettled(const std::vector<std::string>& retiring, TimePoint now) const;
 
  private:
   struct Group {
     std::vector<std::pair<std::string, int64_t>> members;  // id, weight
     int64_t total = 0;
   };
-  struct Instance {
-    std::string zone;
-    int64_t slots = 0;
-    friend bool operator==(const Instance&, const Instance&) = default;
-  };
   // The lists of one or more successive generations that share them.
   struct Lists {
     uint64_t first_generation = 0;
     std::vector<EntryVm> ring;
     std::map<std::string, std::string> region_of_zone;
-    std::unordered_map<std::string, Instance> instances;
     Group all;
     std::map<std::string, Group> by_zone;
     std::map<std::string, Group> by_region;
@@ -94,6 +96,7 @@
 
   std::string vm_id_;
   std::vector<Lists> lists_;  // oldest first
+  std::unordered_map<std::string, std::string> zone_of_instance_;
   // A fresh process does not know older lists: nothing is owned until the VMs
   // of its first list have confirmed baseline_.
   bool blocked_ = true;
