--- /dev/null
+++ b/src/fairness/fair_queue.cc
@@ -0,0 +1,157 @@
+#include "fairness/fair_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rwf {
+namespace {
+
+// The recent rate of Pop is an average over about this time.
+constexpr Duration kRateWindow = std::chrono::milliseconds(500);
+
+// Less evidence than this says nothing about the rate.
+constexpr Duration kLeastEvidence = std::chrono::milliseconds(50);
+
+}  // namespace
+
+FairQueue::FairQueue(int64_t queue_per_workspace)
+    : limit_(queue_per_workspace) {}
+
+void FairQueue::SetWeight(uint32_t workspace, int64_t weight) {
+  flows_[workspace].weight = std::max<int64_t>(weight, 1);
+}
+
+void FairQueue::SetLimit(int64_t queue_per_workspace) {
+  limit_ = queue_per_workspace;
+}
+
+size_t FairQueue::SizeOf(uint32_t workspace) const {
+  const auto it = flows_.find(workspace);
+  return it == flows_.end() ? 0 : it->second.ids.size();
+}
+
+TimePoint FairQueue::NextDeadline() const {
+  return by_deadline_.empty() ? TimePoint::max() : by_deadline_.begin()->first;
+}
+
+Duration FairQueue::EstimatedWait(uint32_t workspace, TimePoint now) const {
+  if (entries_.empty()) return Duration::zero();
+  // A queue that has been served slower than before counts at the slower rate.
+  double rate = served_per_second_;
+  const Duration open = now - window_start_;
+  if (open >= kRateWindow || (rate == 0 && open >= kLeastEvidence)) {
+    rate = static_cast<double>(served_in_window_ + 1) / ToSeconds(open);
+  }
+  if (rate <= 0) return Duration::zero();
+  // Until this entry's turn, each other workspace is served at most by its
+  // weight for the turns that this one needs, and no more than it has queued.
+  const auto self = flows_.find(workspace);
+  const int64_t weight = self == flows_.end() ? 1 : self->second.weight;
+  const auto ahead =
+      static_cast<int64_t>(self == flows_.end() ? 0 : self->second.ids.size());
+  const int64_t turns = ahead / weight + 1;
+  int64_t before = ahead;
+  for (const auto& [id, flow] : flows_) {
+    if (id == workspace) continue;
+    before +=
+        std::min(static_cast<int64_t>(flow.ids.size()), turns * flow.weight);
+  }
+  return FromSeconds(static_cast<double>(before + 1) / rate);
+}
+
+PushResult FairQueue::Push(uint64_t id, uint32_t workspace, TimePoint deadline,
+                           TimePoint now) {
+  Flow& flow = flows_[workspace];
+  if (static_cast<int64_t>(flow.ids.size()) >= limit_) return PushResult::kFull;
+  if (deadline <= now || now + EstimatedWait(workspace, now) > deadline) {
+    return PushResult::kDeadlineEarly;
+  }
+  const bool inserted = entries_.emplace(id, Entry{workspace, deadline}).second;
+  assert(inserted);
+  if (!inserted) return PushResult::kFull;
+  if (entries_.size() == 1) {
+    window_start_ = now;
+    served_in_window_ = 0;
+  }
+  by_deadline_.emplace(deadline, id);
+  flow.ids.push_back(id);
+  if (!flow.in_turn) {
+    flow.in_turn = true;
+    flow.deficit = 0;
+    turns_.push_back(workspace);
+  }
+  return PushResult::kQueued;
+}
+
+void FairQueue::Erase(uint64_t id) {
+  const auto it = entries_.find(id);
+  assert(it != entries_.end());
+  const auto [first, last] = by_deadline_.equal_range(it->second.deadline);
+  for (auto entry = first; entry != last; ++entry) {
+    if (entry->second != id) continue;
+    by_deadline_.erase(entry);
+    break;
+  }
+  entries_.erase(it);
+}
+
+bool FairQueue::Remove(uint64_t id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) return false;
+  std::erase(flows_[it->second.workspace].ids, id);
+  Erase(id);
+  return true;
+}
+
+std::vector<uint64_t> FairQueue::Expire(TimePoint now) {
+  std::vector<uint64_t> out;
+  while (!by_deadline_.empty() && by_deadline_.begin()->first <= now) {
+    out.push_back(by_deadline_.begin()->second);
+    Remove(out.back());
+  }
+  return out;
+}
+
+void FairQueue::NoteServed(TimePoint now) {
+  ++served_in_window_;
+  const Duration open = now - window_start_;
+  if (open < kRateWindow) return;
+  served_per_second_ = static_cast<double>(served_in_window_) / ToSeconds(open);
+  window_start_ = now;
+  served_in_window_ = 0;
+}
+
+std::optional<uint64_t> FairQueue::Pop(TimePoint now) {
+  while (!turns_.empty()) {
+    const uint32_t workspace = turns_.front();
+    Flow& flow = flows_[workspace];
+    // The first entry that can still be run; those past their deadline stay
+    // for Expire.
+    const auto it = std::find_if(
+        flow.ids.begin(), flow.ids.end(),
+        [&](uint64_t id) { return entries_.at(id).deadline > now; });
+    if (it == flow.ids.end()) {
+      turns_.pop_front();
+      flow.in_turn = false;
+      continue;
+    }
+    if (flow.deficit <= 0) flow.deficit += flow.weight;
+    const uint64_t id = *it;
+    flow.ids.erase(it);
+    Erase(id);
+    --flow.deficit;
+    if (flow.ids.empty()) {
+      turns_.pop_front();
+      flow.in_turn = false;
+      flow.deficit = 0;
+    } else if (flow.deficit <= 0) {
+      turns_.pop_front();
+      turns_.push_back(workspace);
+    }
+    NoteServed(now);
+    return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace rwf
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -65,10 +65,10 @@
     int64_t deficit = 0;
     bool in_turn = false;  // listed in turns_
     std::deque<uint64_t> ids;
-    size_t live = 0;  // ids still in entries_
   };
 
-  void DropDead(Flow* flow);
+  // Removes an entry that its flow no longer lists.
+  void Erase(uint64_t id);
   void NoteServed(TimePoint now);
 
   int64_t limit_;
@@ -76,10 +76,9 @@
   std::deque<uint32_t> turns_;  // workspaces with entries, in order of turn
   std::unordered_map<uint64_t, Entry> entries_;
   std::multimap<TimePoint, uint64_t> by_deadline_;
-  std::vector<uint64_t> expired_;  // skipped by Pop, for Expire
   double served_per_second_ = 0;
-  TimePoint busy_since_;
-  int64_t served_while_busy_ = 0;
+  TimePoint window_start_;  // of counting Pop
+  int64_t served_in_window_ = 0;
 };
 
 }  // namespace rwf
--- a/src/keys/key_table.h
+++ b/src/keys/key_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -24,20 +25,28 @@
   KeyTable() = default;
   explicit KeyTable(const Config& config);
 
-  // Which workspace a key belongs to. The time taken depends on the table, not
-  // on how much of a key's digest matches.
+  // Which workspace a key belongs to. The time taken tells nothing about
+  // digests in the table: the search is by a hash with a secret of this table,
+  // and the digest found is compared in constant time.
   KeyLookup Lookup(std::string_view key, const WithdrawalSet& withdrawn) const;
 
   // The same for a key digested before; for requests that leave a queue, and
   // after a change of configuration.
   KeyLookup Recheck(const Digest& digest, const WithdrawalSet& withdrawn) const;
 
-  size_t size() const { return digests_.size(); }
+  size_t size() const { return entries_.size(); }
 
  private:
-  // Sorted by digest; parallel arrays keep the digests dense for the search.
-  std::vector<Digest> digests_;
-  std::vector<uint32_t> workspaces_;
+  struct Entry {
+    Digest blinded;
+    Digest digest;
+    uint32_t workspace = 0;
+  };
+
+  Digest Blind(const Digest& digest) const;
+
+  std::string secret_;
+  std::vector<Entry> entries_;  // sorted by blinded digest
 };
 
 }  // namespace rwf
--- /dev/null
+++ b/tests/rates/account_test.cc
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include "rates/fleet.h"
+#include "rates/resource_account.h"
+#include "rates/share_window.h"
+
+namespace rwf {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+TEST_CASE(
+    "ResourceAccount, loan with more tokens than capacity, carries no more "
+    "than its capacity") {
+  // Tokens without capacity would let the lender refill what is on its way.
+  ResourceAccount lender(false, kStart, kStart);
+  lender.SetOwn({kMicro, 10 * kMicro}, kStart);
+  const TimePoint full = kStart + std::chrono::seconds(20);
+  lender.Advance(full);
+  const TimePoint end = full + kLoanDuration;
+  CHECK(lender.Lend({"b", 1, {0, 3 * kMicro}, end, "", false}, 8 * kMicro,
+                    full) == 3 * kMicro);
+  CHECK(lender.level() == 7 * kMicro);
+  ResourceAccount borrower(false, kStart, kStart);
+  borrower.AddBorrowed({"a", 1, 1, {0, 3 * kMicro}, end, full, 0}, 8 * kMicro,
+                       full);
+  CHECK(borrower.level() == 3 * kMicro);
+  borrower.Advance(end);
+  CHECK(borrower.level() == 0);
+}
+
+TEST_CASE(
+    "ResourceAccount, refill at odd intervals and low rates, loses and gains "
+    "nothing to rounding") {
+  ResourceAccount account(false, kStart, kStart);
+  account.SetOwn({7, 1'000'000'000}, kStart);
+  TimePoint now = kStart;
+  for (int i = 0; i < 100'000; ++i) {
+    now += Duration(1 + i % 977 * 1013);
+    account.Advance(now);
+  }
+  CHECK(account.level() ==
+        FloorShare(7, (now - kStart).count(), 1'000'000'000));
+}
+
+TEST_CASE(
+    "ShareWindow, slots added or removed, splits them exactly and shrinks no "
+    "part when slots grow") {
+  Config config = FleetConfig(2, 1, 1);
+  for (int i = 2; i < 7; ++i) {
+    config.entry_vms.push_back({"vm" + std::to_string(i), "z0"});
+    config.entry_vms.back().weight = i % 3 + 1;
+  }
+  ShareWindow window("vm0");
+  window.Adopt(config, 1, kStart);
+  for (const EntryVm& vm : config.entry_vms) window.Confirm(vm.id, 1);
+  window.Settle(RefusalTracker(), kStart);
+  std::map<std::string, int64_t> before;
+  for (int64_t slots = 0; slots < 100; ++slots) {
+    int64_t sum = 0;
+    for (const EntryVm& vm : config.entry_vms) {
+      const int64_t part = window.SlotShare(vm.id, "upz0", slots);
+      CHECK(part >= before[vm.id]);
+      before[vm.id] = part;
+      sum += part;
+    }
+    CHECK(sum == slots);
+  }
+}
+
+TEST_CASE(
+    "ShareWindow, retired VM, counts as gone only after its loans have ended") {
+  Config config = FleetConfig(3, 1, 1);
+  ShareWindow window("vm0");
+  window.Adopt(config, 1, kStart);
+  window.Confirm("vm1", 1);
+  window.Confirm("vm2", 1);
+  window.Settle(RefusalTracker(), kStart);
+  config.generation = 2;
+  config.entry_vms[2].retired = true;
+  window.Adopt(config, 2, kStart);
+  window.Confirm("vm1", 2);
+  window.Settle(RefusalTracker(), kStart + std::chrono::milliseconds(1999));
+  CHECK(window.RateShare("vm0", 600) == 200);
+  window.Settle(RefusalTracker(), kStart + kInheritDelay);
+  CHECK(window.RateShare("vm0", 600) == 300);
+}
+
+TEST_CASE(
+    "ShareLedger, all clocks 200 ppm fast under constant load, admits nothing "
+    "beyond the bound and nearly all of it") {
+  Fleet fleet(FleetConfig(4, 1000, 10), 5);
+  for (Fleet::Vm& vm : fleet.vms()) vm.drift_ppm = 200;
+  fleet.StartAll();
+  for (int i = 0; i < 5000; ++i) fleet.Advance(kMs);
+  fleet.ResetCounts();
+  for (int i = 0; i < 60'000; ++i) {
+    fleet.Advance(kMs);
+    for (Fleet::Vm& vm : fleet.vms()) {
+      while (fleet.TryAdmit(vm)) {
+      }
+    }
+  }
+  CHECK(fleet.excess() == 0);
+  CHECK(fleet.admitted() >= 59'900);
+  CHECK(fleet.admitted() <= 60'010);
+}
+
+}  // namespace
+}  // namespace rwf
