Add the benchmark of membership and replica on virtual time

Change: bench/replica_bench prints JSON lines; it shares the fakes of tests/, so benchmarks get that include folder.

--- /dev/null
+++ b/bench/replica_bench.cc
@@ -0,0 +1,211 @@
+// Figures of membership and replica on virtual time, one JSON line each:
+// {"name","value","unit","bar","ok"}. A line without a bar is for comparison.
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "membership/member_network.h"
+#include "replica/random_history.h"
+#include "replica/replica_fleet.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+struct FleetSize {
+  size_t vms;
+  size_t zones;
+};
+constexpr FleetSize kSizes[] = {{7, 6}, {28, 6}, {112, 10}, {680, 22}};
+
+bool all_ok = true;
+
+void Print(const std::string& name, double value, const char* unit,
+           std::optional<double> bar) {
+  const bool ok = !bar || value <= *bar;
+  all_ok = all_ok && ok;
+  nlohmann::ordered_json line = {
+      {"name", name}, {"value", value}, {"unit", unit}};
+  if (bar) {
+    line["bar"] = *bar;
+  } else {
+    line["bar"] = nullptr;
+  }
+  line["ok"] = ok;
+  std::printf("%s\n", line.dump().c_str());
+  std::fflush(stdout);
+}
+
+std::string Sized(const char* name, size_t vms) {
+  return std::string(name) + "-" + std::to_string(vms);
+}
+
+ChangeRequest MakeRequest(uint64_t from) {
+  ChangeRequest out;
+  out.operation_id = "op" + std::to_string(from);
+  out.from_generation = from;
+  out.sections = {{"services", std::to_string(from)},
+                  {"client_blocks", std::string(100'000, 'x')}};
+  return out;
+}
+
+// Longest time from an operator's request to the configuration in force on all
+// VMs, over 20 changes that spread by watches.
+void ConfigInForce(FleetSize size, double bar) {
+  ReplicaFleet fleet(size.vms, size.zones, 1);
+  Duration longest{};
+  for (uint64_t n = 0; n < 20; ++n) {
+    FleetChange change(&fleet, n % size.vms, MakeRequest(n));
+    const TimePoint start = fleet.clock.now;
+    while (!fleet.AllHave(n + 1) && fleet.clock.now - start < minutes(1)) {
+      fleet.clock.Run(std::chrono::milliseconds(1));
+    }
+    // The first one finds VMs that still start.
+    if (n > 0) longest = std::max(longest, fleet.clock.now - start);
+    fleet.clock.Run(seconds(5) + Duration(fleet.random() % 10'000'000'000));
+  }
+  Print(Sized("config-in-force-ms", size.vms), ToMillis(longest), "ms", bar);
+}
+
+void ConfigReverts() {
+  int reverts = 0;
+  for (uint64_t seed = 20'001; seed <= 22'000; ++seed) {
+    RandomHistory history(seed);
+    history.Run();
+    reverts += history.reverts;
+  }
+  Print("config-reverts", reverts, "in 2000 histories", 0);
+}
+
+// Longest time from a loss of power to the detection by all, over 10 seeds.
+void MemberDetect(FleetSize size) {
+  Duration longest{};
+  const int seeds = size.vms > 100 ? 3 : 10;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    MemberNetwork net(size.vms, size.zones, seed);
+    net.Run(seconds(5) + std::chrono::milliseconds(53 * seed));
+    const TimePoint start = net.now;
+    net.Crash(3, true);
+    net.Run(seconds(6));
+    const TimePoint seen = net.LastToSee(MemberEventKind::kDead, "vm3");
+    longest = std::max(
+        longest, seen == TimePoint{} ? Duration(seconds(6)) : seen - start);
+  }
+  Print(Sized("member-detect-ms", size.vms), ToMillis(longest), "ms", 3000);
+}
+
+void FalseRemovals(FleetSize size) {
+  size_t removals = 0;
+  for (uint64_t seed = 101; seed <= 105; ++seed) {
+    MemberNetwork net(size.vms, size.zones, seed);
+    net.loss = 0.2;
+    net.Run(minutes(10));
+    removals += net.Count(MemberEventKind::kDead);
+  }
+  Print(Sized("member-false-removals", size.vms), removals,
+        "in 5 runs of 10 min at 20% loss, seeds 101 to 105", 0);
+}
+
+struct Cost {
+  double bytes = 0;
+  double busy_ns = 0;
+};
+
+// Mean cost per VM and second. With `changes`, all VMs take a new generation
+// every 26 s (3,300 a day).
+Cost Measure(MemberNetwork* net, bool changes) {
+  const Duration warm_up = seconds(net->nodes.size() > 300 ? 30 : 10);
+  const Duration span = seconds(changes ? 52 : 20);
+  net->Run(warm_up);
+  for (auto& node : net->nodes) {
+    node.bytes = 0;
+    node.busy = {};
+  }
+  for (int n = 0; n < (changes ? 2 : 1); ++n) {
+    if (changes) {
+      for (auto& node : net->nodes) ++node.generation;
+    }
+    net->Run(span / (changes ? 2 : 1));
+  }
+  Cost out;
+  for (auto& node : net->nodes) {
+    out.bytes += node.bytes;
+    out.busy_ns += node.busy.count();
+  }
+  out.bytes /= net->nodes.size() * ToSeconds(span);
+  out.busy_ns /= net->nodes.size() * ToSeconds(span);
+  return out;
+}
+
+void MemberCost(FleetSize size) {
+  constexpr double kBytesBar = 29'000;
+  MemberNetwork net(size.vms, size.zones, 1);
+  const Cost quiet = Measure(&net, false);
+  Print(Sized("member-bytes-per-second", size.vms), quiet.bytes, "bytes/s",
+        kBytesBar);
+  Print(Sized("member-cpu-ns-per-second", size.vms), quiet.busy_ns, "ns/s",
+        20e6);
+  const Cost busy = Measure(&net, true);
+  Print(Sized("member-bytes-per-second-with-changes", size.vms), busy.bytes,
+        "bytes/s", kBytesBar);
+}
+
+void FullMesh(FleetSize size) {
+  MemberNetwork net(size.vms, size.zones, 1);
+  net.full_mesh = true;
+  const Cost cost = Measure(&net, false);
+  Print(Sized("full-mesh-bytes-per-second", size.vms), cost.bytes, "bytes/s",
+        std::nullopt);
+  Print(Sized("full-mesh-cpu-ns-per-second", size.vms), cost.busy_ns, "ns/s",
+        std::nullopt);
+}
+
+// Calls of the whole fleet in a quiet minute against 2 watchers a zone and one
+// call a watch.
+void StoreCalls(FleetSize size) {
+  ReplicaFleet fleet(size.vms, size.zones, 1);
+  FleetChange change(&fleet, 0, MakeRequest(0));
+  fleet.clock.Run(seconds(30));
+  const uint64_t before = fleet.server.calls();
+  fleet.clock.Run(minutes(1));
+  size_t watchers = 0;
+  for (const auto& node : fleet.nodes) watchers += node.sync->watcher();
+  const double formula = watchers / ToSeconds(StoreSync::kWatchTimeout);
+  Print(Sized("store-calls-per-second-formula", size.vms), formula, "calls/s",
+        std::nullopt);
+  // Calls at the edges of the minute may be one more for each watcher.
+  Print(Sized("store-calls-per-second", size.vms),
+        (fleet.server.calls() - before) / 60.0, "calls/s",
+        formula + watchers / 60.0);
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("replica_bench");
+  options.add_options()("full-mesh", "Measure the full mesh for comparison");
+  const bool full_mesh = options.parse(argc, argv).count("full-mesh") > 0;
+  if (full_mesh) {
+    for (const FleetSize& size : kSizes) FullMesh(size);
+    return 0;
+  }
+  ConfigInForce(kSizes[0], 1000);
+  ConfigInForce(kSizes[2], 3000);
+  ConfigReverts();
+  for (const FleetSize& size : kSizes) MemberDetect(size);
+  FalseRemovals(kSizes[0]);
+  FalseRemovals(kSizes[1]);
+  for (const FleetSize& size : kSizes) MemberCost(size);
+  for (const FleetSize& size : kSizes) {
+    if (size.vms <= 112) StoreCalls(size);
+  }
+  return all_ok ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace rwf
+
+int main(int argc, char** argv) { return rwf::Main(argc, argv); }
--- a/tests/membership/member_network.h
+++ b/tests/membership/member_network.h
@@ -24,6 +24,7 @@
     uint64_t generation = 1;
     TimePoint paused_until{};
     uint64_t bytes = 0;  // sent and received, with frame and TCP/IP headers
+    Duration busy{};     // real time spent in the detector and in encoding
     std::vector<std::pair<TimePoint, MemberEvent>> events;
   };
   // 4 length, 8 sequence, 16 HMAC; 40 TCP/IP.
@@ -129,26 +130,49 @@
   double loss = 0;
   Duration latency = std::chrono::milliseconds(1);
   Duration jitter = std::chrono::milliseconds(20);
+  bool full_mesh = false;  // every VM links to every other
   // True if messages from the first to the second are lost.
   std::function<bool(size_t, size_t)> cut = [](size_t, size_t) {
     return false;
   };
 
  private:
+  // Adds the real time of a scope to a node's.
+  struct Busy {
+    explicit Busy(Node* node)
+        : node(node), start(std::chrono::steady_clock::now()) {}
+    ~Busy() { node->busy += std::chrono::steady_clock::now() - start; }
+    Busy(const Busy&) = delete;
+    Busy& operator=(const Busy&) = delete;
+
+    Node* node;
+    TimePoint start;
+  };
+
   void Tick(size_t n, Node* node, FailureDetector* detector) {
     if (node->detector.get() != detector) return;
     if (node->paused_until > now) {
       clock.At(node->paused_until, [=, this] { Tick(n, node, detector); });
       return;
     }
-    Send(n, detector->Tick(now));
+    {
+      const Busy busy(node);
+      Send(n, detector->Tick(now));
+    }
     Connect(n);
     Collect(node);
     clock.At(now + kTick, [=, this] { Tick(n, node, detector); });
   }
 
   void Connect(size_t n) {
-    for (const std::string& peer : nodes[n].detector->WantedLinks()) {
+    std::vector<std::string> wanted = nodes[n].detector->WantedLinks();
+    if (full_mesh && up_.size() < nodes.size() * (nodes.size() - 1) / 2) {
+      wanted.clear();
+      for (const Node& node : nodes) {
+        if (node.id != nodes[n].id) wanted.push_back(node.id);
+      }
+    }
+    for (const std::string& peer : wanted) {
       const size_t m = index_[peer];
       const auto key = std::minmax(n, m);
       if (up_.contains(key) && nodes[m].powered) continue;
@@ -200,6 +224,7 @@
       return;
     }
     node.bytes += bytes;
+    const Busy busy(&node);
     FailureDetector& it = *node.detector;
     const std::string& peer = nodes[from].id;
     if (const auto* x = body->AsHeartbeat()) {
