--- a/tools/load/load_generator.cc
+++ b/tools/load/load_generator.cc
@@ -19,11 +19,6 @@
 constexpr std::array<int64_t, 10> kAnswerSizes = {400, 400, 400,  400,  400,
                                                   600, 600, 2000, 8000, 65536};
 
-std::string AddressText(uint32_t address) {
-  return fmt::format("{}.{}.{}.{}", address >> 24, address >> 16 & 255,
-                     address >> 8 & 255, address & 255);
-}
-
 Duration RetryAfter(const HttpResponse& response) {
   const std::string& text = response.headers.Get("Retry-After");
   return FromSeconds(std::max(0.0, std::strtod(text.c_str(), nullptr)));
@@ -51,9 +46,8 @@
     auto caller = std::make_unique<Caller>(
         Caller{&it, OfferedRate(it.rate, it.burst, EventLoop::Now())});
     caller->rate = it.rate * options_.load;
-    if (it.name == options_.hot_workspace) caller->rate *= options_.hot_factor;
     for (int64_t n = 0; n < options_.clients_per_workspace; ++n) {
-      caller->client_addresses.push_back(RandomAddress());
+      caller->client_addresses.push_back(plan_->DrawAddress(&random_));
     }
     callers_.push_back(std::move(caller));
   }
@@ -71,6 +65,14 @@
       if (it->rate > 0) ScheduleArrival(it.get());
     }
   }
+  if (!options_.hot_workspace.empty()) {
+    hot_timer_ = loop_->After(options_.hot_after, [this] {
+      for (const auto& it : callers_) {
+        if (it->workspace->name == options_.hot_workspace)
+          it->rate *= options_.hot_factor;
+      }
+    });
+  }
   if (!options_.poison.empty()) {
     poison_timer_ = loop_->After(options_.poison_after, [this] {
       poison_timer_ = loop_->Every(kPoisonPeriod, [this] {
@@ -302,16 +304,6 @@
   }
 }
 
-std::string LoadGenerator::RandomAddress() {
-  if (plan_->client_blocks.empty()) return "10.0.0.1";
-  std::uniform_int_distribution<size_t> pick(0,
-                                             plan_->client_blocks.size() - 1);
-  const LoadPlan::Block& block = plan_->client_blocks[pick(random_)];
-  const uint64_t hosts = uint64_t{1} << (32 - block.prefix_length);
-  std::uniform_int_distribution<uint64_t> host(0, hosts - 1);
-  return AddressText(block.address + static_cast<uint32_t>(host(random_)));
-}
-
 template <typename T>
 const T& LoadGenerator::PickWeighted(const std::vector<T>& all) {
   double total = 0;
--- a/tools/load/load_generator.h
+++ b/tools/load/load_generator.h
@@ -20,6 +20,7 @@
   double load = 0.5;  // of each workspace's rate
   std::string hot_workspace;
   double hot_factor = 8;
+  Duration hot_after{};
   uint64_t seed = 1;
   Duration timeout = std::chrono::seconds(3);
   // Requests go straight to the upstreams.
@@ -94,7 +95,6 @@
   AttemptEnd Classify(Call* call, const HttpOutcome& outcome);
   void AttemptAfter(Call* call, Duration pause);
   void EndCall(Call* call);
-  std::string RandomAddress();
   template <typename T>
   const T& PickWeighted(const std::vector<T>& all);
 
@@ -112,6 +112,7 @@
   bool is_finishing_ = false;
   std::function<void()> on_done_;
   std::unique_ptr<Timer> poison_timer_;
+  std::unique_ptr<Timer> hot_timer_;
 };
 
 }  // namespace rwf
--- a/tools/load/load_plan.cc
+++ b/tools/load/load_plan.cc
@@ -46,6 +46,17 @@
 
 }  // namespace
 
+std::string LoadPlan::DrawAddress(std::mt19937_64* random) const {
+  if (client_blocks.empty()) return "10.0.0.1";
+  std::uniform_int_distribution<size_t> pick(0, client_blocks.size() - 1);
+  const Block& block = client_blocks[pick(*random)];
+  const uint64_t hosts = uint64_t{1} << (32 - block.prefix_length);
+  std::uniform_int_distribution<uint64_t> host(0, hosts - 1);
+  const uint32_t n = block.address + static_cast<uint32_t>(host(*random));
+  return fmt::format("{}.{}.{}.{}", n >> 24, n >> 16 & 255, n >> 8 & 255,
+                     n & 255);
+}
+
 Result<LoadPlan> ReadLoadPlan(const Json& config, const Json& keys) {
   LoadPlan out;
   try {
--- a/tools/load/load_plan.h
+++ b/tools/load/load_plan.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -45,6 +45,9 @@
   std::vector<Workspace> workspaces;
   std::vector<EntryVm> entry_vms;
   std::vector<Block> client_blocks;
+
+  // An address out of one of the client blocks.
+  std::string DrawAddress(std::mt19937_64* random) const;
 };
 
 // Reads a configuration document and a file of keys {workspace: key}. Members
--- a/tools/rwf_load.cc
+++ b/tools/rwf_load.cc
@@ -8,6 +8,7 @@
 #include "load/load_generator.h"
 #include "load/load_ledger.h"
 #include "load/load_plan.h"
+#include "load/lookup_load.h"
 
 namespace rwf {
 namespace {
@@ -116,6 +117,7 @@
   out.load = args["load"].as<double>();
   out.hot_workspace = args["hot"].as<std::string>();
   out.hot_factor = args["hot-factor"].as<double>();
+  out.hot_after = FromSeconds(args["hot-after"].as<double>());
   out.seed = args["seed"].as<uint64_t>();
   out.timeout = milliseconds(args["timeout-ms"].as<int64_t>());
   out.is_direct = args["direct"].as<bool>();
@@ -126,6 +128,29 @@
   return out;
 }
 
+// Looks up as fast as the entry VM answers; prints the rate.
+int RunLookups(Tool* tool, const cxxopts::ParseResult& args) {
+  const LoadPlan plan = ReadPlan(args);
+  if (plan.entry_vms.empty()) ExitWith(2, "rwf-load: no entry VMs");
+  EventLoop loop;
+  LookupLoad load(&loop, &plan, args["seed"].as<uint64_t>());
+  fmt::print(stderr, "rwf-load: look-ups only, no port bound\n");
+  load.Start(args["lookups"].as<int64_t>());
+  const TimePoint started = EventLoop::Now();
+  const auto end = loop.After(FromSeconds(args["seconds"].as<double>()),
+                              [&loop] { loop.Stop(); });
+  tool->StopLoopOnRequest(&loop);
+  loop.Run();
+  const double seconds = ToSeconds(EventLoop::Now() - started);
+  fmt::print("{}\n", Json{{"lookups", load.answered()},
+                          {"lookup_failures", load.failed()},
+                          {"seconds", seconds},
+                          {"lookups_per_second",
+                           static_cast<double>(load.answered()) / seconds}}
+                         .dump());
+  return load.failed() == 0 ? 0 : 1;
+}
+
 int RunLoad(Tool* tool, const cxxopts::ParseResult& args) {
   const LoadPlan plan = ReadPlan(args);
   const LoadOptions options = ReadOptions(args);
@@ -190,6 +215,10 @@
       cxxopts::value<std::string>()->default_value(""),
       "WORKSPACE")("hot-factor", "how many times more",
                    cxxopts::value<double>()->default_value("8"))(
+      "hot-after", "seconds until it does so",
+      cxxopts::value<double>()->default_value("0"))(
+      "lookups", "only look up, with this many callers, at the first entry VM",
+      cxxopts::value<int64_t>()->default_value("0"))(
       "seed", "seed of arrivals and mix",
       cxxopts::value<uint64_t>()->default_value("1"))(
       "timeout-ms", "deadline of a request",
@@ -209,5 +238,6 @@
       "ADDRESS:PORT")("log", "write every request as a JSON line",
                       cxxopts::value<std::string>(), "FILE");
   const auto& args = tool.Parse(argc, argv);
-  return rwf::RunLoad(&tool, args);
+  return args["lookups"].as<int64_t>() > 0 ? rwf::RunLookups(&tool, args)
+                                           : rwf::RunLoad(&tool, args);
 }
