--- a/tools/load/load_generator.cc
+++ b/tools/load/load_generator.cc
@@ -210,7 +210,9 @@
     }
     call->request.headers.Set("Idempotency-Key", call->idempotency_key);
   }
-  call->is_within_rate = call->caller->offered.Offer(now);
+  // Requests on open routes belong to no workspace.
+  if (!call->route->is_open)
+    call->is_within_rate = call->caller->offered.Offer(now);
   client_.Send(
       vm.target, call->request, allowed + kGrace,
       [this, id](const HttpOutcome& outcome) { HandleOutcome(id, outcome); });
--- a/tools/upstream/instance.cc
+++ b/tools/upstream/instance.cc
@@ -69,6 +69,8 @@
 }
 
 void UpstreamInstance::Handle(const Exchange& exchange) {
+  // A crashed server still hands over what it has read until it is gone.
+  if (restart_ != nullptr) return exchange->Abort();
   const HttpRequest& request = exchange->request();
   if (request.path == "/health") return AnswerHealth(exchange);
   if (request.path == "/load") return AnswerLoad(exchange);
@@ -235,6 +237,7 @@
   if (server_ != nullptr) server_->StopListening();
   loop_->Post([this] { server_.reset(); });
   restart_ = loop_->After(restart, [this] {
+    restart_.reset();
     if (const auto port = Start(); !port) {
       Log(LogLevel::kError, "restart_failed", "instance={} {}", options_.id,
           port.error().message);
