Complete the thin path: redwingferryd runs a site end to end

Cause: links that came up before the first configuration were unknown to the failure detector, so no heartbeat was sent and no share was confirmed: all requests were refused as rate-limited. The load generator takes any X-Outcome for a refusal. Change: links to VMs that become members are announced to the detector; answers of upstreams carry no X-Outcome; upstreams get the path below their service; the store's list brings values.

--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -195,7 +195,7 @@
 
 void Node::OnHeartbeatAck(const std::string& peer, const wire::BodyUnion& body,
                           TimePoint now) {
-  detector_.OnAck(peer, *body.AsHeartbeatAck(), now);
+  SendAll(detector_.OnAck(peer, *body.AsHeartbeatAck(), now));
 }
 
 void Node::OnProbe(const std::string& peer, const wire::BodyUnion& body,
@@ -274,7 +274,7 @@
 
 void Node::HandleLinkUp(const std::string& vm, uint64_t incarnation) {
   const TimePoint now = EventLoop::Now();
-  detector_.OnLinkUp(vm, incarnation, now);
+  SendAll(detector_.OnLinkUp(vm, incarnation, now));
   ledger_.OnPeerAccepted(vm, now);
   HandleMemberEvents(now);
 }
@@ -335,7 +335,13 @@
   const bool was_ready = IsReady();
   view_ = std::make_shared<const ServingView>(config);
   ledger_.ApplyConfig(*config, now);
+  const std::set<std::string> strangers = LinkedStrangers();
   detector_.SetConfig(*config, now);
+  // Links to VMs that were in no configuration until now mean nothing to the
+  // detector so far.
+  for (const std::string& it : strangers) {
+    SendAll(detector_.OnLinkUp(it, links_.IncarnationOf(it), now));
+  }
   UpdateLinks();
   AddWithdrawals(config->withdrawn_keys, "");
   proxy_.SetView(view_, now);
@@ -345,6 +351,14 @@
   if (!was_ready && IsReady()) Log(LogLevel::kInfo, "ready");
 }
 
+std::set<std::string> Node::LinkedStrangers() const {
+  std::set<std::string> out;
+  for (const std::string& it : links_.linked()) {
+    if (detector_.roster().Find(it) == nullptr) out.insert(it);
+  }
+  return out;
+}
+
 void Node::UpdateLinks() {
   std::vector<PeerAddress> peers = settings_.seed_peers;
   if (view_ != nullptr) {
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -28,16 +28,23 @@
                                                        "X-Request-Id",
                                                        "X-Client-Address"};
 
-constexpr std::array<const char*, 6> kNotReturned = {
+// Headers that only redwingferry itself may set towards callers, and those of
+// one connection.
+constexpr std::array<const char*, 9> kNotReturned = {
     "Connection", "Keep-Alive",     "Transfer-Encoding",
-    "Upgrade",    "Content-Length", "X-Request-Id"};
+    "Upgrade",    "Content-Length", "X-Request-Id",
+    "X-Outcome",  "X-Refusal-Code", "X-Replayed"};
 
 HttpRequest ForwardedRequest(const HttpRequest& original,
                              const std::string& workspace,
                              const std::string& request_id, Duration left) {
   HttpRequest out = original;
+  // The first segment of the path names the service.
+  const size_t slash = original.path.find('/', 1);
+  out.path = slash == std::string::npos ? "/" : original.path.substr(slash);
   for (const char* it : kNotForwarded) out.headers.Remove(it);
-  out.headers.Set("X-Workspace", workspace);
+  out.headers.Remove("X-Workspace");
+  if (!workspace.empty()) out.headers.Add("X-Workspace", workspace);
   out.headers.Set("X-Request-Timeout-Ms", fmt::format("{}", ToMillis(left)));
   out.headers.Set("X-Request-Id", request_id);
   return out;
@@ -46,7 +53,6 @@
 HttpResponse ReturnedResponse(const HttpResponse& response) {
   HttpResponse out = response;
   for (const char* it : kNotReturned) out.headers.Remove(it);
-  out.headers.Set("X-Outcome", "ran");
   return out;
 }
 
@@ -57,7 +63,6 @@
   if (!stored.content_type.empty()) {
     out.headers.Add("Content-Type", stored.content_type);
   }
-  out.headers.Set("X-Outcome", "ran");
   out.headers.Set("X-Replayed", "1");
   return out;
 }
--- a/src/net/http_store.cc
+++ b/src/net/http_store.cc
@@ -197,7 +197,7 @@
          done(ReadBody<StoreLease>(*answer,
                                    [&](const Json& read) {
                                      StoreLease out = lease;
-                                     out.token = read.value("token", out.token);
+                                     out.token = read.value("fence", out.token);
                                      return out;
                                    }),
               now);
@@ -214,7 +214,6 @@
 void HttpStore::Renew(const StoreLease& lease, Callback<StoreLease> done) {
   const Json body = {{"holder", lease.holder},
                      {"ttl_ms", ToMillis(lease.ttl)},
-                     {"token", lease.token},
                      {"action", "renew"}};
   CallLease(lease.name, body.dump(), lease, std::move(done));
 }
@@ -222,7 +221,6 @@
 void HttpStore::Release(const StoreLease& lease, Callback<bool> done) {
   const Json body = {{"holder", lease.holder},
                      {"ttl_ms", ToMillis(lease.ttl)},
-                     {"token", lease.token},
                      {"action", "release"}};
   CallLease(lease.name, body.dump(), lease,
             [done = std::move(done)](const Result<StoreLease>& result,
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -92,6 +92,11 @@
   return links_.contains(vm);
 }
 
+uint64_t PeerLinks::IncarnationOf(const std::string& vm) const {
+  const auto it = links_.find(vm);
+  return it == links_.end() ? 0 : it->second->incarnation();
+}
+
 std::vector<std::string> PeerLinks::linked() const {
   std::vector<std::string> out;
   out.reserve(links_.size());
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -64,6 +64,8 @@
   // False if there is no link to the peer.
   bool Send(const std::string& vm, wire::BodyUnion body);
   bool HasLink(const std::string& vm) const;
+  // Zero without a link.
+  uint64_t IncarnationOf(const std::string& vm) const;
   std::vector<std::string> linked() const;
 
   // Tries to connect once, apart from any link; signal_probed tells the result.
--- a/tools/store/kv_store.cc
+++ b/tools/store/kv_store.cc
@@ -21,8 +21,8 @@
       after < prefix ? values_.lower_bound(prefix) : values_.upper_bound(after);
   for (; it != values_.end() && out.size() < limit; ++it) {
     if (!it->first.starts_with(prefix)) break;
-    const int64_t version = Get(it->first, at).version;
-    if (version > 0) out.push_back({it->first, version});
+    Value value = Get(it->first, at);
+    if (value.version > 0) out.push_back({it->first, std::move(value)});
   }
   return out;
 }
--- a/tools/store/kv_store.h
+++ b/tools/store/kv_store.h
@@ -23,7 +23,7 @@
   };
   struct Listed {
     std::string key;
-    int64_t version = 0;
+    Value value;
   };
   struct Lease {
     std::string holder;
--- a/tools/store/store_server.cc
+++ b/tools/store/store_server.cc
@@ -172,7 +172,9 @@
   for (const KvStore::Listed& it : store_.List(
            request.QueryValue("prefix"), request.QueryValue("after"),
            std::min(static_cast<size_t>(limit), kMaxListed), ReadTime())) {
-    keys.push_back({{"key", it.key}, {"version", it.version}});
+    keys.push_back({{"key", it.key},
+                    {"version", it.value.version},
+                    {"value", it.value.text}});
   }
   Answer(exchange, 200, Json{{"keys", keys}});
 }
