--- a/src/base/json_reader.cc
+++ b/src/base/json_reader.cc
@@ -316,8 +316,10 @@
 void JsonReader::Finish() {
   for (const auto& [name, unused] : value_->items()) {
     if (std::find(known_.begin(), known_.end(), name) != known_.end()) continue;
-    AddProblem(name.c_str(), fmt::format("is unknown, expected one of: {}",
-                                         fmt::join(known_, ", ")));
+    // The name is free text: '/' and '~' in it are escaped as in any pointer.
+    const std::string token = (Json::json_pointer() / name).to_string();
+    AddProblem(token.c_str() + 1, fmt::format("is unknown, expected one of: {}",
+                                              fmt::join(known_, ", ")));
   }
 }
 
--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -120,7 +120,7 @@
       const Json& it = (*list)[i];
       if (it.is_string() && FromHex(it.get_ref<const std::string&>(), &digest))
         out.push_back(digest);
-      else
+      else  // The value is not shown: it may be a key in clear.
         reader_->AddProblem(fmt::format("{}/{}", name, i).c_str(),
                             "expected a SHA-256 digest of 64 hexadecimal "
                             "characters");
@@ -403,7 +403,7 @@
         [](JsonReader* document, Config* config) {                       \
           ReadMember(document, #member, required, &config->member);      \
         },                                                               \
-        [](Config* config) { config->member = {}; },                     \
+        [](const Config& from, Config* to) { to->member = from.member; }, \
         [](const Config& config) { return WriteMember(config.member); } \
   }
 
@@ -417,7 +417,9 @@
     RWF_SECTION(workspaces, true),
     RWF_SECTION(withdrawn_keys, false),
     SectionCodec{"client_blocks", ReadClientBlocks,
-                 [](Config* config) { config->client_blocks.clear(); },
+                 [](const Config& from, Config* to) {
+                   to->client_blocks = from.client_blocks;
+                 },
                  WriteClientBlocks},
     RWF_SECTION(moves, false),
     RWF_SECTION(drains, false),
--- a/src/config/codec.h
+++ b/src/config/codec.h
@@ -15,8 +15,7 @@
   // Reads member `name` of `document` into `config`, checking types and ranges
   // but no references; appends to lists that are not empty.
   void (*read)(JsonReader* document, Config* config);
-  // Empties the member, so that it can be read anew.
-  void (*reset)(Config* config);
+  void (*copy)(const Config& from, Config* to);
   Json (*write)(const Config& config);
 };
 
--- a/src/config/sections.cc
+++ b/src/config/sections.cc
@@ -1,10 +1,12 @@
 #include "config/sections.h"
 
+#include <fmt/compile.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <functional>
 #include <iterator>
 #include <optional>
 #include <set>
@@ -65,19 +67,25 @@
 using HashedIterator = std::vector<HashedBlock>::iterator;
 
 // One object per block, as WriteClientBlock() and dump() would write it; names
-// of zones need no escapes.
+// of zones need no escapes. The blocks stand in one sorted list, so that their
+// addresses in memory give their order.
 std::string WriteChunk(HashedIterator begin, HashedIterator end) {
   std::sort(begin, end, [](const HashedBlock& a, const HashedBlock& b) {
-    return *a.second < *b.second;
+    return std::less<>()(a.second, b.second);
   });
-  std::string out = "[";
+  fmt::memory_buffer out;
+  out.push_back('[');
   for (auto it = begin; it != end; ++it) {
-    fmt::format_to(std::back_inserter(out), R"({}{{"block":"{}","zone":"{}"}})",
-                   it == begin ? "" : ",", FormatBlock(*it->second),
-                   it->second->zone);
+    if (it != begin) out.push_back(',');
+    const ClientBlock& block = *it->second;
+    const uint32_t n = block.address;
+    fmt::format_to(std::back_inserter(out),
+                   FMT_COMPILE(R"({{"block":"{}.{}.{}.{}/{}","zone":"{}"}})"),
+                   n >> 24, n >> 16 & 255, n >> 8 & 255, n & 255,
+                   block.prefix_length, block.zone);
   }
-  out += "]";
-  return out;
+  out.push_back(']');
+  return fmt::to_string(out);
 }
 
 // Appends the chunks of the blocks in [begin, end), which are sorted by hash
@@ -114,8 +122,6 @@
     problems->push_back({"/" + name, parsed.error().message});
     return;
   }
-  // Chunks add up to one list, so nothing is reset for them.
-  if (!range) codec->reset(config);
   const size_t before = config->client_blocks.size();
   Json document = Json::object();
   document[codec->name] = std::move(*parsed);
@@ -131,18 +137,41 @@
   }
 }
 
-// Removes the blocks outside the chunks that are kept. Blocks stay sorted.
-void KeepBlocks(const std::vector<HashRange>& kept, Config* config) {
-  const auto bits = [](const HashRange& it) { return it.first; };
+// Which of the chunks named so far a hash belongs to.
+class ChunkSet {
+ public:
+  void Add(const HashRange& range) { ranges_.push_back(range); }
+  // Called once, after the last Add().
+  void Sort() { std::ranges::sort(ranges_, {}, &HashRange::first); }
+  size_t size() const { return ranges_.size(); }
+
   // Chunks do not overlap: the one that may hold a hash is the last whose first
   // hash is not above it.
-  std::vector<HashRange> sorted = kept;
-  std::ranges::sort(sorted, {}, bits);
-  std::erase_if(config->client_blocks, [&](const ClientBlock& block) {
-    const uint64_t hash = BlockHash(block);
-    const auto it = std::ranges::upper_bound(sorted, hash, {}, bits);
-    return it == sorted.begin() || !std::prev(it)->Contains(hash);
-  });
+  bool Contains(uint64_t hash) const {
+    const auto it =
+        std::ranges::upper_bound(ranges_, hash, {}, &HashRange::first);
+    return it != ranges_.begin() && std::prev(it)->Contains(hash);
+  }
+
+ private:
+  std::vector<HashRange> ranges_;
+};
+
+// The blocks of `base` in the chunks of `kept` and those of `added`, in one
+// pass; all three lists are sorted.
+std::vector<ClientBlock> MergeBlocks(const std::vector<ClientBlock>& base,
+                                     const ChunkSet& kept,
+                                     std::vector<ClientBlock> added) {
+  std::vector<ClientBlock> out;
+  out.reserve(base.size() + added.size());
+  auto next = added.begin();
+  for (const ClientBlock& it : base) {
+    if (!kept.Contains(BlockHash(it))) continue;
+    while (next != added.end() && *next < it) out.push_back(std::move(*next++));
+    out.push_back(it);
+  }
+  std::move(next, added.end(), std::back_inserter(out));
+  return out;
 }
 
 size_t ChunkCount(const Manifest& manifest) {
@@ -185,10 +214,16 @@
     if (it.name == kClientBlocks) continue;
     out.push_back({it.name, it.write(config).dump(), {}});
   }
+  const std::vector<ClientBlock>* sorted = &config.client_blocks;
+  std::vector<ClientBlock> copy;
+  if (!std::is_sorted(sorted->begin(), sorted->end())) {
+    copy = config.client_blocks;
+    std::sort(copy.begin(), copy.end());
+    sorted = &copy;
+  }
   std::vector<HashedBlock> blocks;
-  blocks.reserve(config.client_blocks.size());
-  for (const ClientBlock& it : config.client_blocks)
-    blocks.emplace_back(BlockHash(it), &it);
+  blocks.reserve(sorted->size());
+  for (const ClientBlock& it : *sorted) blocks.emplace_back(BlockHash(it), &it);
   std::sort(blocks.begin(), blocks.end(),
             [](const HashedBlock& a, const HashedBlock& b) {
               return a.first < b.first;
@@ -280,16 +315,18 @@
                 fmt::format("the manifest has no section {}",
                             fmt::join(missing, ", ")));
 
-  auto config = base == nullptr ? std::make_shared<Config>()
-                                : std::make_shared<Config>(*base);
+  auto config = std::make_shared<Config>();
   config->generation = manifest.generation;
   std::vector<std::pair<std::string, const std::string*>> changed;
-  std::vector<HashRange> kept;
+  ChunkSet kept;
   for (const auto& [name, digest] : manifest.sections) {
     if (base_manifest != nullptr) {
       const auto it = base_manifest->sections.find(name);
       if (it != base_manifest->sections.end() && it->second == digest) {
-        if (const auto range = RangeOfChunk(name)) kept.push_back(*range);
+        if (const auto range = RangeOfChunk(name))
+          kept.Add(*range);
+        else if (const SectionCodec* codec = FindSectionCodec(name))
+          codec->copy(*base, config.get());
         continue;
       }
     }
@@ -297,23 +334,23 @@
     if (!text) return tl::unexpected<Error>(text.error());
     changed.emplace_back(name, *text);
   }
-  if (base_manifest != nullptr && kept.size() != ChunkCount(*base_manifest))
-    KeepBlocks(kept, config.get());
-  const auto n_kept = static_cast<ptrdiff_t>(config->client_blocks.size());
 
   std::vector<JsonProblem> problems;
-  for (const auto& [name, text] : changed) {
+  for (const auto& [name, text] : changed)
     ReadSection(name, *text, config.get(), &problems);
+  SortUnordered(config.get());
+  if (base_manifest != nullptr && kept.size() == ChunkCount(*base_manifest) &&
+      config->client_blocks.empty()) {
+    config->client_blocks = base->client_blocks;
+  } else if (base != nullptr) {
+    kept.Sort();
+    config->client_blocks = MergeBlocks(base->client_blocks, kept,
+                                        std::move(config->client_blocks));
   }
-  const auto middle = config->client_blocks.begin() + n_kept;
-  std::sort(middle, config->client_blocks.end());
-  std::inplace_merge(config->client_blocks.begin(), middle,
-                     config->client_blocks.end());
   if (problems.empty()) ValidateConfig(*config, &problems);
   if (!problems.empty())
     return tl::unexpected<Error>(InvalidConfig(
         fmt::format("generation {}", manifest.generation), problems));
-  SortUnordered(config.get());
   return config;
 }
 
--- a/tests/base/json_reader_test.cc
+++ b/tests/base/json_reader_test.cc
@@ -21,6 +21,15 @@
   CHECK(problems[0].pointer == "/vm/prot");
 }
 
+TEST_CASE(
+    "JsonReader, unknown member with a slash, is escaped in its pointer") {
+  std::vector<JsonProblem> problems;
+  const Json doc = {{"a/b", 1}};
+  JsonReader(doc, "/vm", &problems).Finish();
+  REQUIRE(problems.size() == 1);
+  CHECK(problems[0].pointer == "/vm/a~1b");
+}
+
 TEST_CASE("JsonReader, faulty member, gives found and allowed") {
   struct Row {
     Json doc;
