Test assembly over chunks that split and join

Cause: assembly on top of a configuration in force had been tested only with chunks whose names stay the same. Change: 28 generations around the limit of one chunk, with a fixed seed, each assembled from the one before and compared with the original.

--- a/tests/config/sections_test.cc
+++ b/tests/config/sections_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <random>
 #include <string>
 
 #include "config/config_error.h"
@@ -171,6 +172,33 @@
   CHECK(chunks(Large(4097)) == Names{"client_blocks.0", "client_blocks.1"});
 }
 
+// Guards against blocks that are lost or kept when chunks split or join.
+TEST_CASE("AssembleConfig, chunks that split and join, equals the original") {
+  Config before = Large(4090);
+  Manifest base = MakeManifest(1, Cut(before), "a");
+  std::mt19937 random(7);
+  for (uint64_t generation = 2; generation < 30; ++generation) {
+    // Alternately above and below the limit of one chunk.
+    Config after =
+        Large(4090 + (generation % 2 == 0 ? random() % 20 : random() % 5));
+    after.generation = generation;
+    after.client_blocks[random() % 4000].zone = "z1";
+    const auto sections = Cut(after);
+    const Manifest manifest = MakeManifest(generation, sections, "b");
+    SectionTexts texts = TextsOf(sections);
+    std::erase_if(texts, [&](const auto& it) {
+      const auto missing = MissingSections(manifest, &base);
+      return std::find(missing.begin(), missing.end(), it.first) ==
+             missing.end();
+    });
+    const auto assembled = AssembleConfig(manifest, texts, &base, &before);
+    REQUIRE_MESSAGE(assembled, assembled.error().message);
+    REQUIRE(**assembled == after);
+    before = after;
+    base = manifest;
+  }
+}
+
 TEST_CASE("CutSections, section beyond the store's limit, is refused") {
   Config config = Sample();
   for (int i = 0; i < 20'000; ++i)
