--- a/src/once/claim_client.h
+++ b/src/once/claim_client.h
@@ -75,7 +75,8 @@
   ClaimClient(VmProcess self, ClaimLedger* ledger);
 
   // Starts a request. With kWait the decision comes from OnReply, OnTick or
-  // OnUnreachable; it is refused as home-unreachable at `deadline`.
+  // OnUnreachable (to be called if there is no link to the home); it is
+  // refused as home-unreachable at `deadline`.
   ClaimDecision Begin(const IdempotencyKey& key, const Digest& claim,
                       const Digest& request, TimePoint deadline, TimePoint now,
                       WallTime wall);
