Count links that came up before the configuration listed the peer

Cause: a new VM may link to a peer that has not adopted the generation that lists it; the peer would have ignored the link for as long as it stayed up. Change: such links are remembered and counted at SetConfig; own generation is noted there too. Conclusion: links no longer depend on the order of adoption.

--- a/bench/replica_bench.cc
+++ b/bench/replica_bench.cc
@@ -1,6 +1,7 @@
 // Figures of membership and replica on virtual time, one JSON line each:
 // {"name","value","unit","bar","ok"}. A line without a bar is for comparison.
 
+#include <algorithm>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -142,6 +143,25 @@
   return out;
 }
 
+// Time from the adoption of a generation by all VMs to the knowledge of it by
+// all: shares grow only after that.
+void GenerationKnown(MemberNetwork* net) {
+  const uint64_t generation = ++net->nodes[0].generation;
+  for (auto& node : net->nodes) node.generation = generation;
+  const TimePoint start = net->now;
+  const auto known = [&] {
+    return std::all_of(net->nodes.begin(), net->nodes.end(),
+                       [&](const auto& node) {
+                         return node.detector->roster().AllHave(generation);
+                       });
+  };
+  while (!known() && net->now - start < minutes(2)) {
+    net->Run(std::chrono::milliseconds(100));
+  }
+  Print(Sized("generation-known-ms", net->nodes.size()),
+        ToMillis(net->now - start), "ms", std::nullopt);
+}
+
 void MemberCost(FleetSize size) {
   constexpr double kBytesBar = 29'000;
   MemberNetwork net(size.vms, size.zones, 1);
@@ -150,6 +170,7 @@
         kBytesBar);
   Print(Sized("member-cpu-ns-per-second", size.vms), quiet.busy_ns, "ns/s",
         20e6);
+  GenerationKnown(&net);
   const Cost busy = Measure(&net, true);
   Print(Sized("member-bytes-per-second-with-changes", size.vms), busy.bytes,
         "bytes/s", kBytesBar);
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -39,7 +39,14 @@
   });
   const Member* self = roster_.Find(self_);
   if (self != nullptr && self->incarnation < incarnation_) RecordSelf(now);
+  roster_.NoteGeneration(self_, config.generation, now);
   RebuildPlan();
+  const auto unlisted = std::exchange(unlisted_, {});
+  for (const auto& [peer, incarnation] : unlisted) {
+    OnLinkUp(peer, incarnation, now);
+    self = roster_.Find(self_);
+    if (self != nullptr) Tell(peer, ToUpdate(*self), now);
+  }
 }
 
 void FailureDetector::RecordSelf(TimePoint now) {
@@ -479,6 +486,7 @@
   const Member* known = roster_.Find(peer);
   if (known == nullptr || incarnation == 0 || left_) {
     ++counters_.unknown_senders;
+    if (incarnation != 0) unlisted_[peer] = incarnation;
     return {};
   }
   const uint64_t process = ProcessOf(incarnation);
@@ -521,6 +529,7 @@
 
 void FailureDetector::OnLinkDown(const std::string& peer, bool refused,
                                  TimePoint now) {
+  unlisted_.erase(peer);
   const Member* known = roster_.Find(peer);
   const auto it = links_.find(peer);
   if (it != links_.end()) it->second.up = false;
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -82,7 +82,7 @@
   FailureDetector(std::string self, uint64_t incarnation, uint64_t seed);
 
   // Members are the entry VMs that are not retired. Called at the start and
-  // after each adoption.
+  // after each adoption. Links that came up before count from now on.
   void SetConfig(const Config& config, TimePoint now);
   // What every heartbeat says of this VM: generation, digests, readiness, store
   // contact. Called when a heartbeat is built; a new generation makes the next
@@ -183,6 +183,10 @@
   LinkPlan live_plan_;  // over those not dead or left
   std::vector<std::string> wanted_;
   std::map<std::string, Link> links_;
+  // Incarnations of linked VMs that the configuration does not list, or not
+  // yet: a new VM may link before this one has adopted the generation that
+  // lists it.
+  std::map<std::string, uint64_t> unlisted_;
   std::map<std::string, TimePoint> suspects_;  // to the end of the suspicion
   std::vector<Relay> relays_;
   std::vector<MemberEvent> events_;
--- a/tests/membership/failure_detector_test.cc
+++ b/tests/membership/failure_detector_test.cc
@@ -172,6 +172,15 @@
   CHECK(old_a.superseded());
   CHECK(old_a.counters().duplicates == 1);
   CHECK(b.roster().Find("a")->incarnation == uint64_t{9} << kRefutationBits);
+  // The newer one ends: the older one, or one started with a clock that is
+  // behind, is the only one and may go on.
+  b.OnLinkDown("a", true, now);
+  const auto retold =
+      b.OnLinkUp("a", uint64_t{7} << kRefutationBits, now + seconds(1));
+  old_a.OnHeartbeat("b", *retold[0].body.AsHeartbeat(), now + seconds(1));
+  CHECK_FALSE(old_a.superseded());
+  b.OnLinkUp("a", old_a.incarnation(), now + seconds(2));
+  CHECK(b.roster().Find("a")->IsLive());
 }
 
 // Guards against shares that grow while a removed VM may still use its own.
@@ -197,6 +206,23 @@
   CHECK(b.roster().Find("a") == nullptr);
 }
 
+// Guards against a new VM that stays unknown to peers which adopt the
+// generation that lists it only after it has linked to them.
+TEST_CASE_FIXTURE(PairOfDetectors,
+                  "FailureDetector, link before the configuration lists the "
+                  "peer, counts once it does") {
+  b.OnLinkUp("c", uint64_t{7} << kRefutationBits, now);
+  CHECK(b.roster().Find("c") == nullptr);
+  config.entry_vms.push_back({.id = "c", .zone = "z"});
+  b.SetConfig(config, now);
+  CHECK(b.roster().Find("c")->IsLive());
+  now += seconds(1);
+  const auto sent = b.Tick(now);
+  CHECK(std::any_of(sent.begin(), sent.end(), [](const MemberMessage& message) {
+    return message.peer == "c" && message.body.AsHeartbeat() != nullptr;
+  }));
+}
+
 // Guards against heartbeats that grow with the fleet.
 TEST_CASE("Roster, many changes at once, go out 32 a heartbeat and end") {
   MemberNetwork net(112, 4, 1);
