Free posted callbacks and raw connections when a loop ends

Cause: the address sanitizer reported leaks: EventLoop::Post handed callbacks to libevent as raw pointers, which are lost with what they hold if the loop ends first, and RawServer never freed its connections. Change: the loop owns its posted callbacks and runs them in order, stopping at Stop; RawServer owns its connections.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -12,12 +12,6 @@
   return {us / 1000000, us % 1000000};
 }
 
-void RunPosted(evutil_socket_t, short, void* arg) {
-  const std::unique_ptr<std::function<void()>> callback(
-      static_cast<std::function<void()>*>(arg));
-  (*callback)();
-}
-
 void RunSignal(evutil_socket_t, short, void* arg) {
   (*static_cast<std::function<void()>*>(arg))();
 }
@@ -39,7 +33,10 @@
   callback();
 }
 
-EventLoop::EventLoop() : base_(event_base_new()) {
+EventLoop::EventLoop()
+    : base_(event_base_new()),
+      posted_event_(
+          event_new(base_.get(), -1, 0, &EventLoop::RunPosted, this)) {
   assert(base_ != nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
@@ -67,10 +64,21 @@
 }
 
 void EventLoop::Post(std::function<void()> callback) {
-  static constexpr timeval kAtOnce = {0, 0};
-  auto posted = std::make_unique<std::function<void()>>(std::move(callback));
-  event_base_once(base(), -1, EV_TIMEOUT, &RunPosted, posted.release(),
-                  &kAtOnce);
+  posted_.push_back(std::move(callback));
+  event_active(posted_event_.get(), EV_TIMEOUT, 0);
+}
+
+void EventLoop::RunPosted(evutil_socket_t, short, void* self) {
+  auto* loop = static_cast<EventLoop*>(self);
+  // Those posted meanwhile wait for the next round.
+  for (size_t n = loop->posted_.size(); n > 0; --n) {
+    if (event_base_got_break(loop->base()) != 0) break;
+    const auto callback = std::move(loop->posted_.front());
+    loop->posted_.pop_front();
+    callback();
+  }
+  if (!loop->posted_.empty())
+    event_active(loop->posted_event_.get(), EV_TIMEOUT, 0);
 }
 
 void EventLoop::OnSignal(int signal_number, std::function<void()> callback) {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -50,7 +51,8 @@
   std::unique_ptr<Timer> After(Duration delay, std::function<void()> callback);
   std::unique_ptr<Timer> Every(Duration period, std::function<void()> callback);
 
-  // Calls back from the loop, after the caller has returned.
+  // Calls back from the loop, after the caller has returned. A callback that is
+  // still waiting when the loop is destroyed is destroyed without a call.
   void Post(std::function<void()> callback);
 
   // Calls back on a signal of the process for as long as the loop lives.
@@ -65,7 +67,11 @@
     void operator()(event_base* it) const { event_base_free(it); }
   };
 
+  static void RunPosted(evutil_socket_t, short, void* self);
+
   std::unique_ptr<event_base, BaseDeleter> base_;
+  EventPtr posted_event_;
+  std::deque<std::function<void()>> posted_;
   std::vector<std::pair<EventPtr, std::unique_ptr<std::function<void()>>>>
       signals_;
 };
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <string>
 
 #include "net/event_loop.h"
@@ -19,13 +22,28 @@
   ~RawServer();
 
   uint16_t port() const { return port_; }
+  // Takes no further connections; those that exist go on.
   void Close();
 
  private:
+  struct Connection {
+    bool has_read = false;
+    std::unique_ptr<Timer> close_timer;
+  };
+
+  static void HandleAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                           void* self);
+  static void HandleRead(bufferevent* bev, void* self);
+  static void HandleWritten(bufferevent* bev, void* self);
+  static void HandleEvent(bufferevent* bev, short, void* self);
+  void Drop(bufferevent* bev);
+
+  EventLoop* loop_;
   std::string answer_;
   bool keeps_open_;
   uint16_t port_ = 0;
   evconnlistener* listener_;
+  std::map<bufferevent*, Connection> connections_;
 };
 
 }  // namespace rwf
