Wait for a slot as the selector asks, and keep one digest of section indexes

Cause: the selector sends to other regions only after a request has waited one round trip, and takes a predicate for suspect requests; the daemon told it neither. Slots were asked for of instances whose slots this VM owns already. Change: the head of a service's queue waits for a slot with its age; demand leaves out instances without foreign slots; replica uses IndexDigest.

--- a/src/config/sections.cc
+++ b/src/config/sections.cc
@@ -240,14 +240,15 @@
 }
 
 Digest IndexDigest(uint64_t generation,
-                      const std::map<std::string, Digest>& sections) {
+                   const std::map<std::string, Digest>& sections) {
   std::string text = fmt::format("{}\n", generation);
   for (const auto& [name, digest] : sections)
     text += fmt::format("{} {}\n", name, ToHex(digest));
   return Sha256(text);
 }
 
-SectionIndex MakeIndex(uint64_t generation, const std::vector<Section>& sections) {
+SectionIndex MakeIndex(uint64_t generation,
+                       const std::vector<Section>& sections) {
   SectionIndex out;
   out.generation = generation;
   for (const Section& it : sections) out.sections[it.name] = it.digest;
--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -276,6 +276,8 @@
   const TimePoint now = EventLoop::Now();
   SendAll(detector_.OnLinkUp(vm, incarnation, now));
   ledger_.OnPeerAccepted(vm, now);
+  claim_client_.OnReachable(vm, now);
+  FlushClaims();
   HandleMemberEvents(now);
 }
 
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -121,7 +121,7 @@
 
 size_t Proxy::queued_requests() const {
   size_t n = 0;
-  for (const auto& [name, state] : services_) n += state->queue().size();
+  for (const auto& [name, state] : services_) n += state->waiting();
   return n;
 }
 
@@ -348,6 +348,7 @@
     return;
   }
   request->stage = Stage::kQueue;
+  request->queued_at = now;
   ServiceState* service = request->service;
   switch (service->queue().Push(request->id, request->workspace,
                                 request->deadline, now)) {
@@ -370,22 +371,30 @@
   if (is_dispatching_) return;
   is_dispatching_ = true;
   std::vector<uint64_t> postponed;
-  while (!service->queue().empty()) {
-    const auto slot = service->AcquireSlot(std::nullopt, rng_, now);
-    if (!slot) break;
-    const auto id = service->queue().Pop(now);
-    Request* request = id ? Find(*id) : nullptr;
-    if (request != nullptr &&
-        parts_.crash_guard->MaySend(service->upstream(slot->instance).id,
-                                    request->fingerprint, now)) {
+  while (true) {
+    if (!service->head()) service->set_head(service->queue().Pop(now));
+    if (!service->head()) break;
+    Request* request = Find(*service->head());
+    if (request == nullptr) {
+      service->set_head(std::nullopt);
+      continue;
+    }
+    const auto slot = service->AcquireSlot(
+        request->avoid,
+        [&](const Upstream& it) {
+          return parts_.crash_guard->MaySend(it.id, request->fingerprint, now);
+        },
+        now - request->queued_at, rng_, now);
+    if (slot) {
+      service->set_head(std::nullopt);
       request->slot = slot;
       Send(request);
       continue;
     }
-    service->selector().OnCancelled(slot->instance);
-    parts_.ledger->ReleaseSlot(slot->token, now);
-    if (!id) break;
-    if (request != nullptr) postponed.push_back(*id);
+    if (!parts_.crash_guard->IsSuspect(request->fingerprint, now)) break;
+    // Only an instance without another suspect will do; others go first.
+    postponed.push_back(request->id);
+    service->set_head(std::nullopt);
   }
   is_dispatching_ = false;
   for (uint64_t id : postponed) {
@@ -489,7 +498,7 @@
     if (failure == AttemptFailure::kBrokenMidway) {
       // Stays in flight in the guard until it is known whether the instance
       // crashed.
-      CheckCrash(upstream, service->target(instance));
+      CheckCrash(upstream, service->target(instance), request->fingerprint);
     } else {
       parts_.crash_guard->OnFinished(upstream, request->fingerprint, false,
                                      now);
@@ -517,15 +526,20 @@
   Dispatch(service, now);
 }
 
-void Proxy::CheckCrash(const std::string& upstream, const HttpTarget& target) {
+void Proxy::CheckCrash(const std::string& upstream, const HttpTarget& target,
+                       const Digest& fingerprint) {
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
   HttpRequest probe;
   probe.method = "GET";
   probe.path = "/health";
   parts_.upstreams->Send(
-      target, probe, kProbeTimeout, [this, upstream](const HttpOutcome& out) {
+      target, probe, kProbeTimeout,
+      [this, upstream, fingerprint](const HttpOutcome& out) {
         const TimePoint now = EventLoop::Now();
-        if (out.ec != NetErrc::kConnectFailed) return;
+        if (out.ec != NetErrc::kConnectFailed) {
+          parts_.crash_guard->OnFinished(upstream, fingerprint, false, now);
+          return;
+        }
         const auto suspicions = parts_.crash_guard->OnCrash(upstream, now);
         if (!suspicions.empty()) parts_.flood(suspicions);
       });
@@ -578,6 +592,7 @@
       break;
     case Stage::kQueue:
       service->queue().Remove(id);
+      if (service->head() == id) service->set_head(std::nullopt);
       break;
     case Stage::kSent:
       // Closing the connection tells the upstream to stop.
@@ -600,7 +615,15 @@
   CancelEndedSlots(now);
   OnLedgerChanged(now);
   for (const auto& [name, state] : services_) {
-    for (uint64_t id : state->queue().Expire(now)) {
+    std::vector<uint64_t> expired = state->queue().Expire(now);
+    if (state->head()) {
+      const Request* head = Find(*state->head());
+      if (head != nullptr && now >= head->deadline) {
+        expired.push_back(head->id);
+        state->set_head(std::nullopt);
+      }
+    }
+    for (uint64_t id : expired) {
       if (Request* request = Find(id); request != nullptr) {
         Refuse(request, Refusal::kDeadline, "the deadline passed before a run");
       }
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -88,6 +88,7 @@
     TimePoint arrived;
     TimePoint deadline;
     Stage stage = Stage::kRate;
+    TimePoint queued_at;
     ResourceHandle rate;
     TimePoint rate_wait_until;
     bool has_claim = false;  // a permitted run that has to be finished
@@ -119,7 +120,8 @@
   void HandleOutcome(uint64_t id, const HttpOutcome& outcome);
   void HandleFailedAttempt(Request* request, AttemptFailure failure);
   void HandleAnswer(Request* request, const HttpResponse& response);
-  void CheckCrash(const std::string& upstream, const HttpTarget& target);
+  void CheckCrash(const std::string& upstream, const HttpTarget& target,
+                  const Digest& fingerprint);
   void ReleaseSlot(Request* request);
 
   void Refuse(Request* request, Refusal refusal, const std::string& message);
--- a/src/entry/service_state.cc
+++ b/src/entry/service_state.cc
@@ -12,9 +12,12 @@
 
 class ServiceState::LedgerSlots : public SlotSource {
  public:
-  explicit LedgerSlots(ServiceState* state) : state_(state) {}
+  LedgerSlots(ServiceState* state,
+              const std::function<bool(const Upstream&)>& may_use)
+      : state_(state), may_use_(may_use) {}
 
   bool TryAcquire(size_t instance, TimePoint now) override {
+    if (!may_use_(state_->upstreams_[instance])) return false;
     token_ = state_->ledger_->TryAcquireSlot(state_->slots_[instance], now);
     return token_.has_value();
   }
@@ -22,6 +25,7 @@
 
  private:
   ServiceState* state_;
+  const std::function<bool(const Upstream&)>& may_use_;
   std::optional<SlotToken> token_;
 };
 
@@ -75,25 +79,33 @@
   }
 }
 
-std::optional<HeldSlot> ServiceState::AcquireSlot(std::optional<size_t> avoid,
-                                                  pcg32& rng, TimePoint now) {
-  LedgerSlots slots(this);
+std::optional<HeldSlot> ServiceState::AcquireSlot(
+    std::optional<size_t> avoid,
+    const std::function<bool(const Upstream&)>& may_use, Duration waited,
+    pcg32& rng, TimePoint now) {
+  LedgerSlots slots(this, may_use);
   LedgerLinks links(this);
-  const auto selection = selector_.Select(slots, links, avoid, rng, now);
+  const auto selection =
+      selector_.Select(slots, links, avoid, rng, now, waited);
   if (!selection) return std::nullopt;
   return HeldSlot{selection->instance, slots.token()};
 }
 
 void ServiceState::UpdateDemand(TimePoint now) {
   std::vector<size_t> wanted;
-  if (!queue_.empty()) {
-    const size_t limit = std::min(queue_.size(), kMaxShortInstances);
+  if (waiting() != 0) {
+    const size_t limit = std::min(waiting(), kMaxShortInstances);
     for (const Candidate& it : Explain(now)) {
       if (wanted.size() == limit) break;
       if (it.state != CandidateState::kReady &&
           it.state != CandidateState::kWarmingUp) {
         continue;
       }
+      // All slots are here already; nobody can lend more.
+      if (ledger_->Usable(slots_[it.instance], now).capacity >=
+          upstreams_[it.instance].slots) {
+        continue;
+      }
       wanted.push_back(it.instance);
     }
   }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <pcg_random.hpp>
 #include <string>
@@ -37,9 +38,19 @@
   std::vector<size_t> Reconfigure(const Config& config, size_t service,
                                   TimePoint now);
 
-  // Chooses an instance and takes a slot of it.
-  std::optional<HeldSlot> AcquireSlot(std::optional<size_t> avoid, pcg32& rng,
-                                      TimePoint now);
+  // Chooses an instance that `may_use` allows and takes a slot of it. `waited`
+  // is how long the request has waited for one.
+  std::optional<HeldSlot> AcquireSlot(
+      std::optional<size_t> avoid,
+      const std::function<bool(const Upstream&)>& may_use, Duration waited,
+      pcg32& rng, TimePoint now);
+
+  // The request that left the queue and waits for a slot; it goes before those
+  // in the queue.
+  const std::optional<uint64_t>& head() const { return head_; }
+  void set_head(std::optional<uint64_t> id) { head_ = id; }
+  // Requests that wait, with the head.
+  size_t waiting() const { return queue_.size() + (head_ ? 1 : 0); }
 
   // Tells the ledger which slots are short while requests wait, so that it
   // borrows some, or that none are.
@@ -69,6 +80,7 @@
   std::string own_region_;
   ShareLedger* ledger_;
   FairQueue queue_;
+  std::optional<uint64_t> head_;
   UpstreamSelector selector_;
   RetryBudget retries_;
   std::vector<Upstream> upstreams_;
--- a/src/replica/config_writer.cc
+++ b/src/replica/config_writer.cc
@@ -161,7 +161,7 @@
       unwritten_.push_back(name);
     }
   }
-  manifest_.digest = ConfigDigest(manifest_.generation, manifest_.sections);
+  manifest_.digest = IndexDigest(manifest_.generation, manifest_.sections);
   const auto config = parse_(manifest_.generation, request_.sections);
   if (!config) {
     *problem = "the configuration is not valid: " + config.error().message;
--- a/src/replica/manifest.cc
+++ b/src/replica/manifest.cc
@@ -44,15 +44,6 @@
   return "audit/rejected/" + operation_id;
 }
 
-Digest ConfigDigest(uint64_t generation,
-                    const std::map<std::string, Digest>& sections) {
-  std::string text = fmt::format("{}\n", generation);
-  for (const auto& [name, digest] : sections) {
-    text += fmt::format("{} {}\n", ToHex(digest), name);
-  }
-  return Sha256(text);
-}
-
 std::string FormatManifest(const Manifest& manifest) {
   Json sections = Json::object();
   for (const auto& [name, digest] : manifest.sections) {
@@ -108,7 +99,7 @@
   }
   reader.Finish();
   if (!problems.empty()) return fail(FormatProblems(problems));
-  if (out.digest != ConfigDigest(out.generation, out.sections)) {
+  if (out.digest != IndexDigest(out.generation, out.sections)) {
     return fail("the digest does not match the generation and the sections");
   }
   return out;
--- a/src/replica/manifest.h
+++ b/src/replica/manifest.h
@@ -29,7 +29,7 @@
 // writer died after the commit.
 struct Manifest {
   uint64_t generation = 0;
-  Digest digest;                           // ConfigDigest of the two
+  Digest digest;                           // IndexDigest of the two
   std::map<std::string, Digest> sections;  // name to digest of the text
   std::string operation_id;
   std::string who;
@@ -41,10 +41,6 @@
   friend bool operator==(const Manifest&, const Manifest&) = default;
 };
 
-// The digest of a configuration: of its generation and its sections.
-Digest ConfigDigest(uint64_t generation,
-                    const std::map<std::string, Digest>& sections);
-
 // Canonical JSON text. ParseManifest refuses a text whose digest does not match
 // its content or that has members of a newer format.
 std::string FormatManifest(const Manifest& manifest);
--- a/tests/replica/config_replica_test.cc
+++ b/tests/replica/config_replica_test.cc
@@ -12,7 +12,7 @@
   out.generation = generation;
   out.operation_id = "op" + std::to_string(generation);
   for (const auto& [name, text] : sections) out.sections[name] = Sha256(text);
-  out.digest = ConfigDigest(generation, out.sections);
+  out.digest = IndexDigest(generation, out.sections);
   return out;
 }
 
