--- a/src/rates/resource.cc
+++ b/src/rates/resource.cc
@@ -40,9 +40,7 @@
   if (resource.IsSlots() || resource.waiting > 0) return 0;
   const ResourceAccount& account = resource.account;
   const int64_t kept =
-      resource.demand.IsIdle(now)
-          ? 0
-          : std::max(account.usable().capacity / 2, 2 * resource.Unit());
+      resource.demand.IsIdle(now) ? 0 : account.usable().capacity / 2;
   return std::max<int64_t>(0, account.level() - kept);
 }
 
