Guard changes of entry_vms and put an accepted change in force at once

Cause: the bound on rates needs every VM to have confirmed the list of entry VMs in force before it changes again, and an accepted change reached the VM that wrote it only by its watch. Change: the operators' endpoint asks the ledger and refuses a VM left out that was neither retired nor of weight 0; weight 0 is valid; an accepted change is offered to the own replica. Withdrawals are written by the VM that took them and the store's watchers only. Loans are given back before new ones are asked for.

--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -227,7 +227,8 @@
   o.Integer("caller_port", it.caller_port, 1, UINT16_MAX);
   o.Integer("peer_port", it.peer_port, 1, UINT16_MAX);
   o.Integer("operator_port", it.operator_port, 1, UINT16_MAX);
-  o.OptionalInteger("weight", it.weight, 1, kMaxWeight);
+  // Weight 0 takes the shares of a VM away before it is left out.
+  o.OptionalInteger("weight", it.weight, 0, kMaxWeight);
   o.Flag("retired", it.retired);
 }
 
--- a/src/config/validator.cc
+++ b/src/config/validator.cc
@@ -172,7 +172,7 @@
       CheckZone(pointer + "/zone", it.zone);
       // The address of a destroyed VM may belong to its replacement.
       if (it.retired) continue;
-      has_active = true;
+      if (it.weight > 0) has_active = true;
       zones_with_entry_vm_.insert(it.zone);
       CheckEndpoint(it.address, it.caller_port, pointer + "/caller_port");
       CheckEndpoint(it.address, it.peer_port, pointer + "/peer_port");
@@ -180,8 +180,8 @@
     }
     if (!has_active && !config_.entry_vms.empty())
       Add("/entry_vms",
-          "every entry VM is retired, expected at least one that "
-          "is not");
+          "every entry VM is retired or has weight 0, expected at least one "
+          "that is not");
   }
 
   void CheckServices() {
--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -73,6 +73,9 @@
            &peer_withdrawals_, &proxy_, &lookup_,
            [this] { return view_.get(); },
            [this](const Digest& digest) { AddWithdrawals({digest}, ""); },
+           [this](const std::vector<std::string>& retiring) {
+             return ledger_.MayChangeList(retiring, EventLoop::Now());
+           },
            [this] { return is_leaving(); }}),
       caller_server_(loop, {},
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -211,6 +214,7 @@
 void Node::OnLoanRequest(const std::string& peer, const wire::BodyUnion& body,
                          TimePoint now) {
   Send(peer, ledger_.OnLoanRequest(peer, *body.AsLoanRequest(), now));
+  if (ledger_.WantsTick()) FlushLedger();
 }
 
 void Node::OnLoanGrant(const std::string& peer, const wire::BodyUnion& body,
@@ -385,7 +389,11 @@
   if (added.empty()) return;
   Log(LogLevel::kInfo, "keys_withdrawn", "count={} total={}", added.size(),
       withdrawals_.size());
-  for (const Digest& it : added) withdrawal_writer_.Add(it);
+  // Written by the VM that took the withdrawal and by the store's watchers;
+  // with every VM writing, a large fleet would collide on the one key.
+  if (from.empty() || store_sync_.watcher()) {
+    for (const Digest& it : added) withdrawal_writer_.Add(it);
+  }
   for (const std::string& peer : links_.linked()) {
     if (peer != from) SendWithdrawals(peer, added);
   }
@@ -406,8 +414,9 @@
 void Node::FlushLedger() {
   const TimePoint now = EventLoop::Now();
   for (LoanMessages& it : ledger_.Tick(now)) {
-    if (it.request != nullptr) Send(it.peer, std::move(*it.request));
+    // What is given back first may be lent again by the same peer.
     if (it.give_back != nullptr) Send(it.peer, std::move(*it.give_back));
+    if (it.request != nullptr) Send(it.peer, std::move(*it.request));
   }
   for (const std::string& vm : ledger_.VmsToProbe(now)) links_.Probe(vm);
 }
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -143,6 +143,14 @@
     RespondError(exchange, 400, FormatProblems(problems));
     return;
   }
+  if (const std::string refusal = CheckEntryVms(*config); !refusal.empty()) {
+    exchange->Respond(
+        JsonResponse(409, Json{{"result", "rejected"},
+                               {"generation", parts_.replica->generation()},
+                               {"message", refusal}}
+                              .dump()));
+    return;
+  }
   const auto sections = CutSections(*config);
   if (!sections) {
     RespondError(exchange, 400, sections.error().message);
@@ -152,11 +160,35 @@
   StartChange(exchange, std::move(change));
 }
 
+std::string OperatorApi::CheckEntryVms(const Config& next) const {
+  const std::shared_ptr<const Config>& current = parts_.replica->current();
+  if (current == nullptr || current->entry_vms == next.entry_vms) return "";
+  std::vector<std::string> retiring;
+  for (const EntryVm& it : current->entry_vms) {
+    const EntryVm* kept = next.FindEntryVm(it.id);
+    if (kept == nullptr && !it.retired && it.weight != 0) {
+      return fmt::format(
+          "entry VM {} may only be left out after it was retired or had "
+          "weight 0 for one generation",
+          it.id);
+    }
+    if (kept != nullptr && kept->retired && !it.retired) {
+      retiring.push_back(it.id);
+    }
+  }
+  if (parts_.may_change_list(retiring)) return "";
+  return "entry_vms may change again once all VMs have confirmed the list in "
+         "force; see rwf status";
+}
+
 void OperatorApi::StartChange(const Exchange& exchange, ChangeRequest request) {
   const std::string operation_id = request.operation_id;
-  writers_.push_back(std::make_unique<ConfigWriter>(
+  auto outcome = std::make_shared<ChangeOutcome>(ChangeOutcome::kUnknown);
+  auto writer = std::make_unique<ConfigWriter>(
       parts_.store, parts_.budget, parts_.random, parts_.parse,
-      std::move(request), [exchange, operation_id](const ChangeResult& result) {
+      std::move(request),
+      [exchange, operation_id, outcome](const ChangeResult& result) {
+        *outcome = result.outcome;
         const int status =
             result.outcome == ChangeOutcome::kRejected ? 409 : 200;
         exchange->Respond(
@@ -167,8 +199,9 @@
                                       {"audit_pending", result.audit_pending},
                                       {"message", result.message}}
                                      .dump()));
-      }));
-  writers_.back()->Start(EventLoop::Now());
+      });
+  writer->Start(EventLoop::Now());
+  changes_.push_back({std::move(writer), std::move(outcome)});
 }
 
 void OperatorApi::GetOperation(const Exchange& exchange) {
@@ -292,13 +325,13 @@
   };
   if (const ServingView* view = parts_.view(); view != nullptr) {
     for (const EntryVm& vm : view->config().entry_vms) {
+      if (vm.retired) continue;
       const bool is_self = vm.id == parts_.settings->vm;
       const Member* member = parts_.roster->Find(vm.id);
       const bool is_known =
           is_self || (member != nullptr && member->incarnation != 0);
       Json row = {{"id", vm.id}, {"zone", vm.zone}};
-      row["state"] = vm.retired ? "retired"
-                     : is_self  ? "alive"
+      row["state"] = is_self    ? "alive"
                      : is_known ? StateName(member->state)
                                 : "unknown";
       row["generation"] = is_self    ? parts_.replica->generation()
@@ -380,8 +413,18 @@
 }
 
 void OperatorApi::Tick(TimePoint now) {
-  for (const auto& it : writers_) it->Tick(now);
-  std::erase_if(writers_, [](const auto& it) { return it->finished(); });
+  for (const Change& it : changes_) it.writer->Tick(now);
+  std::erase_if(changes_, [&](const Change& it) {
+    if (!it.writer->finished()) return false;
+    if (*it.outcome == ChangeOutcome::kAccepted) {
+      // In force here at once, and from here at the peers.
+      parts_.replica->OfferManifest(FormatManifest(it.writer->manifest()), now);
+      for (const auto& [name, text] : it.writer->request().sections) {
+        parts_.replica->OfferSection(text, now);
+      }
+    }
+    return true;
+  });
   TickWithdrawals(now);
 }
 
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -39,6 +39,8 @@
     const Lookup* lookup;
     std::function<const ServingView*()> view;
     std::function<void(const Digest&)> withdraw;
+    // ShareLedger::MayChangeList.
+    std::function<bool(const std::vector<std::string>&)> may_change_list;
     std::function<bool()> is_leaving;
   };
 
@@ -56,6 +58,10 @@
     const char* path;  // a trailing '/' matches what follows it
     void (OperatorApi::*handle)(const Exchange& exchange);
   };
+  struct Change {
+    std::unique_ptr<ConfigWriter> writer;
+    std::shared_ptr<ChangeOutcome> outcome;
+  };
   struct Withdrawal {
     Exchange exchange;
     TimePoint until;
@@ -70,13 +76,16 @@
   void GetStatus(const Exchange& exchange);
   void GetExplain(const Exchange& exchange);
 
+  // Why the list of entry VMs may not change to that of `next` yet; empty if it
+  // may.
+  std::string CheckEntryVms(const Config& next) const;
   void StartChange(const Exchange& exchange, ChangeRequest request);
   // Confirmation by each VM of the present withdrawal set.
   Json WithdrawalStatus(bool* all_confirmed) const;
   void TickWithdrawals(TimePoint now);
 
   Parts parts_;
-  std::vector<std::unique_ptr<ConfigWriter>> writers_;
+  std::vector<Change> changes_;
   std::vector<Withdrawal> withdrawals_;
 };
 
