Record withdrawals in the audit trail and let the demo use rwf

Cause: a withdrawal was in force and in the store, but stood in no audit record. The demo edited configurations in a form that the parser refuses (a workspace without a key, a state of drains) and named the generation after the one in force, so its races were all rejected. Change: the VM that took a withdrawal writes it into the configuration until it stands there; the demo withdraws and drains by rwf and names the generation that it edited.

--- a/scripts/demo_faults.py
+++ b/scripts/demo_faults.py
@@ -161,14 +161,9 @@
         self.workspace = self.site.config["workspaces"][0]["name"]
         digest = self.site.key_digest(self.workspace)
 
-        def withdraw(config):
-            it = config["workspaces"][0]
-            left = [key for key in it["keys"] if digest not in str(key)]
-            if len(left) == len(it["keys"]):
-                raise SiteError(f"the demo key of {self.workspace} is not in the configuration")
-            it["keys"] = left
-
-        self.at_ms = self.site.apply_change(withdraw)
+        code = self.site.run_rwf("key", "withdraw", digest)
+        self.expect(code == 0, f"rwf key withdraw exited {code}: not every VM confirmed")
+        self.at_ms = time.time() * 1000
 
     def check(self, summary, calls):
         keyed = [it for it in calls if it["workspace"] == self.workspace and not it["open"]]
@@ -343,8 +338,9 @@
     def inject(self):
         kind, target, self.instances = self.target()
         say(f"draining {kind} {target}")
-        drain = {"kind": kind, "id": target, "state": "draining"}
-        self.at_ms = self.site.apply_change(lambda config: config.setdefault("drains", []).append(drain))
+        code = self.site.run_rwf("drain", "start", kind, target)
+        self.expect(code == 0, f"rwf drain start exited {code}")
+        self.at_ms = time.time() * 1000
 
     def check(self, summary, calls):
         runs = [it for it in self.site.runs() if it["instance"] in self.instances]
--- a/scripts/site_runner.py
+++ b/scripts/site_runner.py
@@ -219,10 +219,18 @@
     def apply(self, path, vm=None):
         return self.apply_process(path, vm or self.config["entry_vms"][0]).wait(60)
 
+    def run_rwf(self, *arguments):
+        """The exit code of one operators' command at the first entry VM."""
+        vm = self.config["entry_vms"][0]
+        command = [f"{self.bin}/rwf", *arguments, "--endpoint", f"http://{vm['address']}:{vm['operator_port']}",
+                   "--token-file", self.path("token"), "--who", "demo"]
+        with open(self.path("rwf.log"), "ab") as log:
+            return subprocess.call(command, stdout=log, stderr=log, timeout=60)
+
     def edited(self, name, change):
-        """Writes the present configuration with a change, as the next generation."""
+        """Writes the present configuration with a change; its generation names the one it was made on."""
         config = copy.deepcopy(self.config)
-        config["generation"] = self.generation + 1
+        config["generation"] = self.generation
         change(config)
         return self.write(name, config)
 
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -15,6 +15,7 @@
 // How long a withdrawal waits for the confirmation of all VMs.
 constexpr Duration kWithdrawalWait = std::chrono::seconds(3);
 constexpr size_t kHistoryPage = 200;
+constexpr Duration kRecordPause = std::chrono::seconds(2);
 
 const char* OutcomeName(ChangeOutcome outcome) {
   switch (outcome) {
@@ -157,7 +158,19 @@
     return;
   }
   for (const Section& it : *sections) change.sections[it.name] = it.text;
-  StartChange(exchange, std::move(change));
+  const std::string operation_id = change.operation_id;
+  StartChange(std::move(change), [exchange,
+                                  operation_id](const ChangeResult& result) {
+    const int status = result.outcome == ChangeOutcome::kRejected ? 409 : 200;
+    exchange->Respond(
+        JsonResponse(status, Json{{"result", OutcomeName(result.outcome)},
+                                  {"generation", result.generation},
+                                  {"digest", ToHex(result.digest)},
+                                  {"operation_id", operation_id},
+                                  {"audit_pending", result.audit_pending},
+                                  {"message", result.message}}
+                                 .dump()));
+  });
 }
 
 std::string OperatorApi::CheckEntryVms(const Config& next) const {
@@ -181,29 +194,51 @@
          "force; see rwf status";
 }
 
-void OperatorApi::StartChange(const Exchange& exchange, ChangeRequest request) {
-  const std::string operation_id = request.operation_id;
+void OperatorApi::StartChange(ChangeRequest request,
+                              std::function<void(const ChangeResult&)> done) {
   auto outcome = std::make_shared<ChangeOutcome>(ChangeOutcome::kUnknown);
   auto writer = std::make_unique<ConfigWriter>(
       parts_.store, parts_.budget, parts_.random, parts_.parse,
       std::move(request),
-      [exchange, operation_id, outcome](const ChangeResult& result) {
+      [done = std::move(done), outcome](const ChangeResult& result) {
         *outcome = result.outcome;
-        const int status =
-            result.outcome == ChangeOutcome::kRejected ? 409 : 200;
-        exchange->Respond(
-            JsonResponse(status, Json{{"result", OutcomeName(result.outcome)},
-                                      {"generation", result.generation},
-                                      {"digest", ToHex(result.digest)},
-                                      {"operation_id", operation_id},
-                                      {"audit_pending", result.audit_pending},
-                                      {"message", result.message}}
-                                     .dump()));
+        if (done) done(result);
       });
   writer->Start(EventLoop::Now());
   changes_.push_back({std::move(writer), std::move(outcome)});
 }
 
+void OperatorApi::RecordWithdrawals(TimePoint now) {
+  const std::shared_ptr<const Config>& current = parts_.replica->current();
+  if (current == nullptr) return;
+  std::erase_if(unrecorded_, [&](const Unrecorded& it) {
+    const auto& recorded = current->withdrawn_keys;
+    return std::find(recorded.begin(), recorded.end(), it.digest) !=
+           recorded.end();
+  });
+  // One change at a time: two of this VM would only race each other.
+  if (!changes_.empty()) return;
+  for (Unrecorded& it : unrecorded_) {
+    if (now < it.next_try) continue;
+    it.next_try = now + kRecordPause;
+    Config next = *current;
+    ++next.generation;
+    next.withdrawn_keys.push_back(it.digest);
+    const auto sections = CutSections(next);
+    if (!sections) continue;
+    ChangeRequest change;
+    change.from_generation = current->generation;
+    change.operation_id = ToHex(RandomBytes(16));
+    change.who = it.who;
+    change.action = "key withdraw " + ToHex(it.digest);
+    change.when = EventLoop::WallNow();
+    for (const Section& part : *sections)
+      change.sections[part.name] = part.text;
+    StartChange(std::move(change), nullptr);
+    return;
+  }
+}
+
 void OperatorApi::GetOperation(const Exchange& exchange) {
   static constexpr std::string_view kPath = "/v1/operations/";
   const std::string id = exchange->request().path.substr(kPath.size());
@@ -269,7 +304,7 @@
   std::vector<JsonProblem> problems;
   JsonReader reader(*body, "", &problems);
   const std::string text = reader.String("digest");
-  reader.String("who", "");
+  const std::string who = reader.String("who", "unknown");
   reader.String("operation_id", "");
   reader.Finish();
   Digest digest;
@@ -281,6 +316,7 @@
     return;
   }
   parts_.withdraw(digest);
+  unrecorded_.push_back({digest, who, {}});
   withdrawals_.push_back({exchange, EventLoop::Now() + kWithdrawalWait});
 }
 
@@ -426,6 +462,7 @@
     return true;
   });
   TickWithdrawals(now);
+  RecordWithdrawals(now);
 }
 
 }  // namespace rwf
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -67,6 +67,14 @@
     TimePoint until;
   };
 
+  // A withdrawal that is in force, but not in the configuration and its audit
+  // trail yet.
+  struct Unrecorded {
+    Digest digest;
+    std::string who;
+    TimePoint next_try{};
+  };
+
   static const std::vector<Endpoint>& Endpoints();
   void GetConfig(const Exchange& exchange);
   void PostConfig(const Exchange& exchange);
@@ -79,7 +87,12 @@
   // Why the list of entry VMs may not change to that of `next` yet; empty if it
   // may.
   std::string CheckEntryVms(const Config& next) const;
-  void StartChange(const Exchange& exchange, ChangeRequest request);
+  // `done` may be empty.
+  void StartChange(ChangeRequest request,
+                   std::function<void(const ChangeResult&)> done);
+  // Writes withdrawals into the configuration, again and again until they stand
+  // there: the store may be down.
+  void RecordWithdrawals(TimePoint now);
   // Confirmation by each VM of the present withdrawal set.
   Json WithdrawalStatus(bool* all_confirmed) const;
   void TickWithdrawals(TimePoint now);
@@ -87,6 +100,7 @@
   Parts parts_;
   std::vector<Change> changes_;
   std::vector<Withdrawal> withdrawals_;
+  std::vector<Unrecorded> unrecorded_;
 };
 
 }  // namespace rwf
