Drive planned moves, read load reports, and let callers keep to the order of a look-up

Cause: no VM proposed the steps of a move and no load report was read. Callers of the load generator spread over all entry VMs of an answer, so steering had no effect: each VM got a seventh of the traffic whatever the client's zone. A second SIGTERM during the last steps of a planned stop ended the process. Change: MoveDriver and LoadPoller; the load generator uses the answer in order with 32 clients for each workspace; the signal is ignored once its event goes.

--- a/scripts/demo_faults.py
+++ b/scripts/demo_faults.py
@@ -382,7 +382,7 @@
         move = {"id": "demo-move", "service": service["name"], "from": zones[0], "to": zones[1], "percent": 50,
                 "step_percent": 25, "step_interval_s": 8, "cap_percent": 90, "state": "running", "step": 0}
         self.instances = {it["id"] for it in service["upstreams"] if it["zone"] == zones[1]}
-        self.at_ms = self.site.apply_change(lambda config: config.setdefault("moves", []).append(move))
+        self.at_ms = self.site.apply_change(lambda config: config.update(moves=[move]))
 
     def check(self, summary, calls):
         service = self.service()["name"]
--- /dev/null
+++ b/src/entry/move_driver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "config/config.h"
+#include "steering/move_planner.h"
+#include "steering/upstream_selector.h"
+
+namespace rwf {
+
+// Proposes the steps of planned moves into the own zone. Each VM of the target
+// zone does; the compare-and-swap of the configuration lets one proposal of a
+// step take effect.
+class MoveDriver {
+ public:
+  struct Parts {
+    std::string zone;
+    // The last load report of an upstream.
+    std::function<std::optional<LoadReport>(const std::string& upstream)>
+        find_report;
+    // Failed or shed share of the recent attempts of a service from here.
+    std::function<double(const std::string& service)> failure_ratio;
+    std::function<void(Config next, const std::string& action)> propose;
+    // New clients arrive at the zone, whose caches are cold for them.
+    std::function<void(const std::string& service, const std::string& zone)>
+        on_cold;
+  };
+
+  MoveDriver(Parts parts, TimePoint start);
+
+  void SetConfig(std::shared_ptr<const Config> config, TimePoint now);
+  // Called about once a second.
+  void Tick(TimePoint now);
+
+ private:
+  struct Step {
+    int64_t number = 0;
+    TimePoint adopted;
+  };
+
+  std::optional<MoveEvidence> EvidenceOf(const Move& move) const;
+
+  Parts parts_;
+  TimePoint start_;
+  std::shared_ptr<const Config> config_;
+  std::map<std::string, Step> steps_;  // by move id
+};
+
+}  // namespace rwf
--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -77,6 +77,12 @@
              return ledger_.MayChangeList(retiring, EventLoop::Now());
            },
            [this] { return is_leaving(); }}),
+      load_poller_(&upstream_client_, settings_.zone,
+                   [this](const std::string& service, const std::string& id,
+                          const LoadReport& report) {
+                     proxy_.OnReport(service, id, report);
+                   }),
+      move_driver_(MoveParts(), EventLoop::Now()),
       caller_server_(loop, {},
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        HandleCaller(exchange);
@@ -109,6 +115,10 @@
   UpdateLinks();
   fast_timer_ = loop_->Every(kFastTick, [this] { FastTick(); });
   slow_timer_ = loop_->Every(kSlowTick, [this] { SlowTick(); });
+  load_timer_ = loop_->Every(LoadPoller::kPeriod, [this] {
+    load_poller_.Poll();
+    move_driver_.Tick(EventLoop::Now());
+  });
   Log(LogLevel::kInfo, "started", "vm={} zone={} incarnation={:x} seed={}",
       settings_.vm, settings_.zone, incarnation_, seed_);
   return {};
@@ -351,6 +361,8 @@
   UpdateLinks();
   AddWithdrawals(config->withdrawn_keys, "");
   proxy_.SetView(view_, now);
+  load_poller_.SetConfig(config);
+  move_driver_.SetConfig(config, now);
   detector_.Announce(now);
   Log(LogLevel::kInfo, "config_adopted", "generation={} digest={}",
       config->generation, ToHex(replica_.digest()));
@@ -436,6 +448,25 @@
   }
 }
 
+MoveDriver::Parts Node::MoveParts() {
+  return {settings_.zone,
+          [this](const std::string& upstream) {
+            return load_poller_.Find(upstream);
+          },
+          [this](const std::string& service) {
+            const ServiceState* state = proxy_.FindService(service);
+            return state == nullptr ? 0 : state->failure_ratio();
+          },
+          [this](const Config& next, const std::string& action) {
+            operator_api_.Propose(next, settings_.vm, action);
+          },
+          [this](const std::string& service, const std::string& zone) {
+            ServiceState* state = proxy_.FindService(service);
+            if (state == nullptr) return;
+            state->selector().OnZoneCold(zone, EventLoop::Now());
+          }};
+}
+
 void Node::FastTick() {
   const TimePoint now = EventLoop::Now();
   FlushLedger();
--- a/src/entry/node.h
+++ b/src/entry/node.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "config/section_parser.h"
+#include "entry/load_poller.h"
 #include "entry/lookup.h"
 #include "entry/metrics.h"
+#include "entry/move_driver.h"
 #include "entry/operator_api.h"
 #include "entry/proxy.h"
 #include "entry/serving_view.h"
@@ -121,6 +123,7 @@
   void Flood(const std::vector<wire::CrashSuspicionT>& suspicions,
              const std::string& from);
 
+  MoveDriver::Parts MoveParts();
   void FastTick();
   void SlowTick();
   void HandleCaller(const std::shared_ptr<HttpExchange>& exchange);
@@ -156,12 +159,15 @@
   Lookup lookup_;
   Proxy proxy_;
   OperatorApi operator_api_;
+  LoadPoller load_poller_;
+  MoveDriver move_driver_;
   HttpServer caller_server_;
   HttpServer operator_server_;
   std::shared_ptr<const ServingView> view_;
   std::map<std::string, TimePoint> withdrawals_sent_;  // by peer
   std::unique_ptr<Timer> fast_timer_;
   std::unique_ptr<Timer> slow_timer_;
+  std::unique_ptr<Timer> load_timer_;
   StopPhase stop_phase_ = StopPhase::kRunning;
   TimePoint stop_at_{};
 };
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -216,29 +216,33 @@
     return std::find(recorded.begin(), recorded.end(), it.digest) !=
            recorded.end();
   });
-  // One change at a time: two of this VM would only race each other.
-  if (!changes_.empty()) return;
   for (Unrecorded& it : unrecorded_) {
     if (now < it.next_try) continue;
     it.next_try = now + kRecordPause;
     Config next = *current;
     ++next.generation;
     next.withdrawn_keys.push_back(it.digest);
-    const auto sections = CutSections(next);
-    if (!sections) continue;
-    ChangeRequest change;
-    change.from_generation = current->generation;
-    change.operation_id = ToHex(RandomBytes(16));
-    change.who = it.who;
-    change.action = "key withdraw " + ToHex(it.digest);
-    change.when = EventLoop::WallNow();
-    for (const Section& part : *sections)
-      change.sections[part.name] = part.text;
-    StartChange(std::move(change), nullptr);
+    Propose(next, it.who, "key withdraw " + ToHex(it.digest));
     return;
   }
 }
 
+void OperatorApi::Propose(const Config& next, const std::string& who,
+                          const std::string& action) {
+  // Two changes of one VM would only race each other.
+  if (!changes_.empty()) return;
+  const auto sections = CutSections(next);
+  if (!sections) return;
+  ChangeRequest change;
+  change.from_generation = next.generation - 1;
+  change.operation_id = ToHex(RandomBytes(16));
+  change.who = who;
+  change.action = action;
+  change.when = EventLoop::WallNow();
+  for (const Section& it : *sections) change.sections[it.name] = it.text;
+  StartChange(std::move(change), nullptr);
+}
+
 void OperatorApi::GetOperation(const Exchange& exchange) {
   static constexpr std::string_view kPath = "/v1/operations/";
   const std::string id = exchange->request().path.substr(kPath.size());
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -48,6 +48,12 @@
   ~OperatorApi();
 
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  // Writes a configuration whose generation follows the one in force, unless
+  // another change of this VM is under way. Whether it was accepted shows in
+  // the configuration.
+  void Propose(const Config& next, const std::string& who,
+               const std::string& action);
+
   // Called every 50 ms: changes under way.
   void Tick(TimePoint now);
 
--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -119,6 +119,17 @@
   return it == services_.end() ? nullptr : it->second.get();
 }
 
+void Proxy::OnReport(const std::string& service, const std::string& upstream,
+                     const LoadReport& report) {
+  ServiceState* state = FindService(service);
+  if (state == nullptr) return;
+  for (size_t i = 0; i < state->instance_count(); ++i) {
+    if (state->upstream(i).id != upstream) continue;
+    state->selector().OnReport(i, report);
+    return;
+  }
+}
+
 size_t Proxy::queued_requests() const {
   size_t n = 0;
   for (const auto& [name, state] : services_) n += state->waiting();
@@ -471,6 +482,7 @@
   if (request->slot && request->slot->instance != SIZE_MAX) {
     const size_t instance = request->slot->instance;
     service->selector().OnSuccess(instance, now - request->sent_at, now);
+    service->CountAttempt(/*failed=*/false);
     const auto cleared = parts_.crash_guard->OnFinished(
         service->upstream(instance).id, request->fingerprint, true, now);
     if (!cleared.empty()) parts_.flood(cleared);
@@ -490,6 +502,7 @@
   if (request->slot && request->slot->instance != SIZE_MAX) {
     const size_t instance = request->slot->instance;
     const std::string& upstream = service->upstream(instance).id;
+    service->CountAttempt(/*failed=*/true);
     if (failure == AttemptFailure::kShed) {
       service->selector().OnShed(instance, now);
     } else {
--- a/src/entry/proxy.h
+++ b/src/entry/proxy.h
@@ -59,6 +59,9 @@
   void SetView(std::shared_ptr<const ServingView> view, TimePoint now);
   void Handle(std::shared_ptr<HttpExchange> exchange);
 
+  // What an instance says about its load.
+  void OnReport(const std::string& service, const std::string& upstream,
+                const LoadReport& report);
   // Decisions of the claim client for requests that waited.
   void OnClaimDecisions(const std::vector<ClaimDecision>& decisions);
   // Called every 10 ms: deadlines, waits and ended slots.
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -58,6 +58,15 @@
 
   std::vector<Candidate> Explain(TimePoint now);
 
+  // Attempts at upstreams, for failure_ratio; recent ones count most.
+  void CountAttempt(bool failed) {
+    attempts_ = attempts_ * kAttemptDecay + 1;
+    failures_ = failures_ * kAttemptDecay + (failed ? 1 : 0);
+  }
+  double failure_ratio() const {
+    return attempts_ > 0 ? failures_ / attempts_ : 0;
+  }
+
   const std::string& name() const { return name_; }
   const Upstream& upstream(size_t instance) const {
     return upstreams_[instance];
@@ -76,6 +85,9 @@
 
   void LoadConfig(const Config& config, size_t service);
 
+  // The last 200 attempts or so make up the ratio.
+  static constexpr double kAttemptDecay = 0.995;
+
   std::string name_;
   std::string own_region_;
   ShareLedger* ledger_;
@@ -86,7 +98,9 @@
   std::vector<Upstream> upstreams_;
   std::vector<ResourceHandle> slots_;
   std::vector<ResourceHandle> links_;  // by region index of Topology
-  std::vector<size_t> short_of_;       // instances reported as waited for
+  double attempts_ = 0;
+  double failures_ = 0;
+  std::vector<size_t> short_of_;  // instances reported as waited for
 };
 
 }  // namespace rwf
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -83,6 +83,9 @@
 
 void EventLoop::OnSignal(int signal_number, std::function<void()> callback) {
   auto stored = std::make_unique<std::function<void()>>(std::move(callback));
+  // libevent restores this when the event goes: a second signal during the last
+  // steps of a planned stop must not end the process in between.
+  std::signal(signal_number, SIG_IGN);
   EventPtr ev(evsignal_new(base(), signal_number, &RunSignal, stored.get()));
   event_add(ev.get(), nullptr);
   signals_.emplace_back(std::move(ev), std::move(stored));
--- a/tools/load/load_generator.cc
+++ b/tools/load/load_generator.cc
@@ -177,11 +177,16 @@
                            const std::vector<EntryChoice>& choices) {
   call->choices = choices;
   if (choices.empty()) return EndCall(call);
-  const EntryChoice& first = PickWeighted(choices);
-  call->next_choice = static_cast<size_t>(
-      std::find_if(choices.begin(), choices.end(),
-                   [&](const EntryChoice& it) { return &it == &first; }) -
-      choices.begin());
+  // A look-up answer is in the order of preference. Without a system in between
+  // there is no order, and callers spread over the instances.
+  call->next_choice = 0;
+  if (options_.is_direct) {
+    const EntryChoice& first = PickWeighted(choices);
+    call->next_choice = static_cast<size_t>(
+        std::find_if(choices.begin(), choices.end(),
+                     [&](const EntryChoice& it) { return &it == &first; }) -
+        choices.begin());
+  }
   Attempt(call->id);
 }
 
--- a/tools/load/load_generator.h
+++ b/tools/load/load_generator.h
@@ -31,7 +31,7 @@
   // A request with this text in its body is sent again and again.
   std::string poison;
   Duration poison_after = std::chrono::seconds(5);
-  int64_t clients_per_workspace = 4;
+  int64_t clients_per_workspace = 32;
 };
 
 // Callers of all workspaces. Their requests and what they were told end up in
--- a/tools/rwf_load.cc
+++ b/tools/rwf_load.cc
@@ -224,7 +224,7 @@
       "timeout-ms", "deadline of a request",
       cxxopts::value<int64_t>()->default_value("3000"))(
       "clients", "client addresses of each workspace",
-      cxxopts::value<int64_t>()->default_value("4"))(
+      cxxopts::value<int64_t>()->default_value("32"))(
       "direct", "send to the upstreams, with no system in between")(
       "closed", "this many callers, each one request at a time",
       cxxopts::value<int64_t>()->default_value("0"))(
