Test the daemon as a whole: joining, refusals, and a second SIGTERM

Change: a test with two nodes, the store's double and an upstream on one loop; a table of requests that are refused; a test of the signal.

--- /dev/null
+++ b/tests/entry/node_test.cc
@@ -0,0 +1,223 @@
+#include "entry/node.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <map>
+#include <string>
+
+#include "config/parser.h"
+#include "config/sample.h"
+#include "net/raw_server.h"
+#include "store/store_server.h"
+
+namespace rwf {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kSecret[] = "0123456789abcdef";
+
+// Two entry VMs, the store's double and one upstream on one loop.
+struct NodeFixture {
+  EventLoop loop;
+  StoreServer store{&loop, {}};
+  HttpServer upstream{&loop, {}, [this](const auto& exchange) {
+                        seen.push_back(exchange->request());
+                        exchange->Respond(JsonResponse(200, "{}"));
+                      }};
+  HttpClient client{&loop, {}};
+  std::vector<HttpRequest> seen;
+  Json config = SampleConfig();
+  std::vector<std::unique_ptr<Node>> nodes;
+
+  NodeFixture() {
+    const uint16_t store_port = store.Listen("127.0.0.1", 0).value();
+    const uint16_t upstream_port = upstream.Listen("127.0.0.1", 0).value();
+    config["generation"] = 1;
+    config["moves"] = Json::array();
+    config["drains"] = Json::array();
+    config["withdrawn_keys"] = Json::array();
+    config["entry_vms"].erase(2);
+    config["workspaces"][0]["keys"] = {ToHex(Sha256("key"))};
+    uint16_t port = 20080;
+    for (Json& vm : config["entry_vms"]) {
+      vm["address"] = "127.77.0.1";
+      vm["caller_port"] = port++;
+      vm["peer_port"] = port++;
+      vm["operator_port"] = port++;
+    }
+    for (Json& service : config["services"]) {
+      for (Json& it : service["upstreams"]) {
+        it["address"] = fmt::format("127.0.0.{}", 100 + upstreams_++);
+        it["port"] = upstream_port;
+        upstream.Listen(it["address"], upstream_port).value();
+      }
+    }
+    for (const Json& vm : config["entry_vms"]) {
+      Settings settings;
+      settings.vm = vm["id"];
+      settings.zone = vm["zone"];
+      settings.cluster = "test";
+      settings.store = {"127.0.0.1", store_port};
+      settings.fleet_secrets = {kSecret};
+      settings.operator_token = "token";
+      settings.address = vm["address"];
+      settings.caller_port = vm["caller_port"];
+      settings.peer_port = vm["peer_port"];
+      settings.operator_port = vm["operator_port"];
+      for (const Json& peer : config["entry_vms"]) {
+        settings.seed_peers.push_back(
+            {peer["id"], peer["address"], peer["peer_port"]});
+      }
+      nodes.push_back(std::make_unique<Node>(&loop, settings));
+      REQUIRE(nodes.back()->Start().has_value());
+    }
+  }
+
+  // Calls until the answer satisfies `done`; the last answer.
+  HttpResponse CallUntil(uint16_t port, const HttpRequest& request,
+                         const std::function<bool(const HttpResponse&)>& done) {
+    HttpResponse last;
+    bool is_open = false;
+    int left = 2000;
+    const auto timer = loop.Every(milliseconds(5), [&] {
+      if (is_open) return;
+      if (done(last) || --left == 0) return loop.Stop();
+      is_open = true;
+      client.Send({"127.77.0.1", port}, request, milliseconds(8000),
+                  [&](const HttpOutcome& outcome) {
+                    last = outcome.response;
+                    is_open = false;
+                  });
+    });
+    loop.Run();
+    return last;
+  }
+
+  void ApplyConfig() {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/config";
+    request.headers.Add("Authorization", "Bearer token");
+    request.body = Json{
+        {"expected_generation", 0},
+        {"operation_id", "op-1"},
+        {"who", "test"},
+        {"action", "apply"},
+        {"config",
+         config}}.dump();
+    const HttpResponse applied = CallUntil(
+        20082, request, [](const HttpResponse& it) { return it.status != 0; });
+    REQUIRE_MESSAGE(applied.status == 200, applied.body);
+  }
+
+  int upstreams_ = 0;
+};
+
+HttpRequest Get(const std::string& path, const std::string& query = "") {
+  HttpRequest out;
+  out.method = "GET";
+  out.path = path;
+  out.query = query;
+  return out;
+}
+
+// Guards against links that came up before the first configuration and then
+// carry no heartbeats: the VMs stayed unknown to each other, no share was
+// confirmed, and every request was refused as rate-limited.
+TEST_CASE_FIXTURE(
+    NodeFixture,
+    "Node, linked before its first configuration, joins its peers and serves") {
+  for (const uint16_t port : {20080, 20083}) {
+    CallUntil(port, Get("/ready"),
+              [](const HttpResponse& it) { return it.status == 503; });
+  }
+  ApplyConfig();
+  for (const uint16_t port : {20080, 20083}) {
+    const HttpResponse lookup = CallUntil(
+        port, Get("/v1/lookup", "service=desk"), [](const HttpResponse& it) {
+          const Json body = Json::parse(it.body, nullptr, false);
+          return it.status == 200 && body["entry_vms"].size() == 2;
+        });
+    CHECK(Json::parse(lookup.body)["entry_vms"].size() == 2);
+  }
+  HttpRequest request = Get("/desk/status");
+  request.headers.Add("X-Api-Key", "key");
+  request.headers.Add("Authorization", "secret of the caller");
+  const HttpResponse answer = CallUntil(
+      20080, request, [](const HttpResponse& it) { return it.status == 200; });
+  CHECK(answer.status == 200);
+  CHECK_FALSE(answer.headers.Has("X-Outcome"));
+
+  // Promise P4, and the path below the service.
+  REQUIRE_FALSE(seen.empty());
+  for (const HttpRequest& it : seen) {
+    CHECK_FALSE(it.headers.Has("X-Api-Key"));
+    CHECK_FALSE(it.headers.Has("Authorization"));
+    if (it.path != "/status") CHECK(it.path == "/load");
+  }
+}
+
+// Guards against one bad request that harms the process or another caller.
+TEST_CASE_FIXTURE(
+    NodeFixture,
+    "Node, request that cannot run, is refused with its code and outcome") {
+  ApplyConfig();
+  CallUntil(20080, Get("/ready"),
+            [](const HttpResponse& it) { return it.status == 200; });
+  struct Row {
+    const char* method;
+    const char* path;
+    std::map<std::string, std::string> headers;
+    int status;
+    const char* code;
+  };
+  const Row rows[] = {
+      {"GET", "/none/status", {}, 404, "route-unknown"},
+      {"GET", "/desk/statusx", {}, 404, "route-unknown"},
+      {"DELETE", "/desk/status", {}, 404, "route-unknown"},
+      {"GET", "/desk/status", {}, 401, "no-key"},
+      {"GET", "/desk/status", {{"X-Api-Key", "other"}}, 401, "key-unknown"},
+      {"GET",
+       "/desk/status",
+       {{"X-Api-Key", "key"}, {"X-Request-Timeout-Ms", "0"}},
+       400,
+       "bad-request"},
+      {"GET",
+       "/desk/status",
+       {{"X-Api-Key", "key"}, {"X-Request-Timeout-Ms", "1s"}},
+       400,
+       "bad-request"},
+      {"POST",
+       "/desk/checks",
+       {{"X-Api-Key", "key"}},
+       428,
+       "idempotency-key-required"},
+      {"POST",
+       "/desk/checks",
+       {{"X-Api-Key", "key"}, {"Idempotency-Key", "x"}},
+       400,
+       "idempotency-key-invalid"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.path);
+    HttpRequest request = Get(row.path);
+    request.method = row.method;
+    for (const auto& [name, value] : row.headers)
+      request.headers.Add(name, value);
+    const HttpResponse answer = CallUntil(
+        20080, request, [](const HttpResponse& it) { return it.status != 0; });
+    CHECK(answer.status == row.status);
+    CHECK(answer.headers.Get("X-Refusal-Code") == row.code);
+    CHECK(answer.headers.Get("X-Outcome") == "not-run");
+  }
+  HttpRequest stranger = Get("/v1/config");
+  stranger.headers.Add("Authorization", "Bearer wrong");
+  CHECK(CallUntil(20082, stranger, [](const HttpResponse& it) {
+          return it.status != 0;
+        }).status == 401);
+}
+
+}  // namespace
+}  // namespace rwf
--- a/tests/net/event_loop_test.cc
+++ b/tests/net/event_loop_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <memory>
 #include <string>
 
@@ -37,5 +38,22 @@
   CHECK(order == "ab");
 }
 
+// A supervisor may repeat SIGTERM while a process takes itself apart; the
+// default action ended it with a signal instead of exit status 0.
+TEST_CASE("EventLoop, signal after its end, is ignored") {
+  bool is_called = false;
+  {
+    EventLoop loop;
+    loop.OnSignal(SIGTERM, [&] {
+      is_called = true;
+      loop.Stop();
+    });
+    loop.Post([] { std::raise(SIGTERM); });
+    loop.Run();
+  }
+  CHECK(is_called);
+  std::raise(SIGTERM);
+}
+
 }  // namespace
 }  // namespace rwf
