--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -483,6 +483,9 @@
     const size_t instance = request->slot->instance;
     service->selector().OnSuccess(instance, now - request->sent_at, now);
     service->CountAttempt(/*failed=*/false);
+    const size_t bytes = std::max(request->exchange->request().body.size(),
+                                  response.body.size());
+    service->ChargeLink(instance, static_cast<int64_t>(bytes), now);
     const auto cleared = parts_.crash_guard->OnFinished(
         service->upstream(instance).id, request->fingerprint, true, now);
     if (!cleared.empty()) parts_.flood(cleared);
--- a/src/entry/service_state.cc
+++ b/src/entry/service_state.cc
@@ -68,6 +68,15 @@
   for (const Upstream& it : upstreams_) {
     slots_.push_back(ledger_->Find(wire::ResourceKind::kUpstreamSlots, it.id));
   }
+  instance_links_.clear();
+  for (const Upstream& it : upstreams_) {
+    const Zone* zone = config.FindZone(it.zone);
+    instance_links_.push_back(
+        zone == nullptr || zone->region == own_region_
+            ? ResourceHandle()
+            : ledger_->Find(wire::ResourceKind::kLinkBytes,
+                            LinkResourceName(own_region_, zone->region)));
+  }
   links_.clear();
   for (const Region& it : config.regions) {
     links_.push_back(ledger_->Find(wire::ResourceKind::kLinkBytes,
@@ -117,6 +126,14 @@
   short_of_ = std::move(wanted);
 }
 
+void ServiceState::ChargeLink(size_t instance, int64_t bytes, TimePoint now) {
+  const ResourceHandle link = instance_links_[instance];
+  if (!link.IsValid() || ledger_->TryTake(link, bytes, now)) return;
+  // The exchange took more than was left; with nothing left, no further request
+  // crosses the link.
+  ledger_->TryTake(link, std::max<int64_t>(0, ledger_->Level(link, now)), now);
+}
+
 std::vector<Candidate> ServiceState::Explain(TimePoint now) {
   LedgerLinks links(this);
   return selector_.Explain(links, now);
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -56,6 +56,10 @@
   // borrows some, or that none are.
   void UpdateDemand(TimePoint now);
 
+  // Takes the bytes of a finished exchange from the budget of the link to the
+  // instance's region; none within the own region.
+  void ChargeLink(size_t instance, int64_t bytes, TimePoint now);
+
   std::vector<Candidate> Explain(TimePoint now);
 
   // Attempts at upstreams, for failure_ratio; recent ones count most.
@@ -97,7 +101,8 @@
   RetryBudget retries_;
   std::vector<Upstream> upstreams_;
   std::vector<ResourceHandle> slots_;
-  std::vector<ResourceHandle> links_;  // by region index of Topology
+  std::vector<ResourceHandle> links_;           // by region index of Topology
+  std::vector<ResourceHandle> instance_links_;  // invalid in the own region
   double attempts_ = 0;
   double failures_ = 0;
   std::vector<size_t> short_of_;  // instances reported as waited for
