--- a/src/rates/share_ledger.cc
+++ b/src/rates/share_ledger.cc
@@ -23,7 +23,10 @@
 // response (8 MB) on the slowest link even when two or three VMs share it.
 constexpr int64_t kLinkBurstSeconds = 1;
 
-constexpr Duration kLoanTimeLeft = std::chrono::milliseconds(1);
+// A slot whose loan ends sooner is not taken for a new request: a lender that
+// needs the slot does not renew the loan, and a request in flight is cancelled
+// at its end. With renewals each 500 ms a running loan has 900 ms or more left.
+constexpr Duration kLeastSlotTime = std::chrono::milliseconds(800);
 
 Slice Scaled(int64_t rate, int64_t capacity) {
   return {FloorShare(rate, kDriftNumerator, kDriftDenominator), capacity};
@@ -266,7 +269,7 @@
   resource->demand.NoteLevel(account.HeldSlots(), now);
   ++counters_.admitted;
   const TimePoint until = account.HeldUntil(id);
-  if (until - kLoanTimeLeft <= now) {
+  if (until - kLeastSlotTime <= now) {
     account.Release(id, now);
     return std::nullopt;
   }
