Name VMs outside the configuration plainly and keep one conversion to timeval

Cause: read-through: LinkedStrangers is no term of the field, and the conversion of durations for libevent stood twice. Change: LinkedNonMembers; ToTimeval in net/event_loop.

--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -351,11 +351,11 @@
   const bool was_ready = IsReady();
   view_ = std::make_shared<const ServingView>(config);
   ledger_.ApplyConfig(*config, now);
-  const std::set<std::string> strangers = LinkedStrangers();
+  const std::set<std::string> non_members = LinkedNonMembers();
   detector_.SetConfig(*config, now);
   // Links to VMs that were in no configuration until now mean nothing to the
   // detector so far.
-  for (const std::string& it : strangers) {
+  for (const std::string& it : non_members) {
     SendAll(detector_.OnLinkUp(it, links_.IncarnationOf(it), now));
   }
   UpdateLinks();
@@ -369,7 +369,7 @@
   if (!was_ready && IsReady()) Log(LogLevel::kInfo, "ready");
 }
 
-std::set<std::string> Node::LinkedStrangers() const {
+std::set<std::string> Node::LinkedNonMembers() const {
   std::set<std::string> out;
   for (const std::string& it : links_.linked()) {
     if (detector_.roster().Find(it) == nullptr) out.insert(it);
--- a/src/entry/node.h
+++ b/src/entry/node.h
@@ -106,7 +106,7 @@
   void FillHeartbeat(wire::HeartbeatT* heartbeat, TimePoint now);
   void AdoptConfig(const std::shared_ptr<const Config>& config, TimePoint now);
   // VMs with a link that the configuration does not list.
-  std::set<std::string> LinkedStrangers() const;
+  std::set<std::string> LinkedNonMembers() const;
   void UpdateLinks();
   // Adds withdrawn keys, floods the new ones and has them written.
   void AddWithdrawals(const std::vector<Digest>& digests,
--- a/src/net/connect_attempt.cc
+++ b/src/net/connect_attempt.cc
@@ -18,12 +18,6 @@
                                : NetErrc::kConnectFailed;
 }
 
-timeval ToTimeval(Duration d) {
-  const auto us =
-      std::chrono::duration_cast<std::chrono::microseconds>(d).count();
-  return {us / 1000000, us % 1000000};
-}
-
 }  // namespace
 
 ConnectAttempt::ConnectAttempt(EventLoop* loop, const std::string& address,
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -6,18 +6,18 @@
 namespace rwf {
 namespace {
 
-timeval ToTimeval(Duration d) {
-  const auto us =
-      std::chrono::duration_cast<std::chrono::microseconds>(d).count();
-  return {us / 1000000, us % 1000000};
-}
-
 void RunSignal(evutil_socket_t, short, void* arg) {
   (*static_cast<std::function<void()>*>(arg))();
 }
 
 }  // namespace
 
+timeval ToTimeval(Duration d) {
+  const auto us =
+      std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+  return {us / 1000000, us % 1000000};
+}
+
 Timer::Timer(event_base* base, Duration delay, bool repeats,
              std::function<void()> callback)
     : callback_(std::move(callback)),
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -11,6 +11,9 @@
 
 namespace rwf {
 
+// A duration as libevent takes it, rounded down to microseconds.
+timeval ToTimeval(Duration d);
+
 struct EventDeleter {
   void operator()(event* it) const { event_free(it); }
 };
--- a/tests/entry/node_test.cc
+++ b/tests/entry/node_test.cc
@@ -212,9 +212,9 @@
     CHECK(answer.headers.Get("X-Refusal-Code") == row.code);
     CHECK(answer.headers.Get("X-Outcome") == "not-run");
   }
-  HttpRequest stranger = Get("/v1/config");
-  stranger.headers.Add("Authorization", "Bearer wrong");
-  CHECK(CallUntil(20082, stranger, [](const HttpResponse& it) {
+  HttpRequest unauthorized = Get("/v1/config");
+  unauthorized.headers.Add("Authorization", "Bearer wrong");
+  CHECK(CallUntil(20082, unauthorized, [](const HttpResponse& it) {
           return it.status != 0;
         }).status == 401);
 }
