--- /dev/null
+++ b/src/gateway/fleet.cc
@@ -0,0 +1,228 @@
+#include "gateway/fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "base/digest.h"
+#include "base/json_reader.h"
+
+namespace rwf {
+namespace {
+
+// Name of the fleet in the handshake of links; VMs of one store are one fleet.
+constexpr const char* kCluster = "fleet";
+
+}  // namespace
+
+std::string FormatFleetVm(const FleetVm& vm) {
+  return Json{{"zone", vm.zone},           {"region", vm.region},
+              {"address", vm.address},     {"front_port", vm.front_port},
+              {"peer_port", vm.peer_port}, {"incarnation", vm.incarnation}}
+      .dump();
+}
+
+Result<FleetVm> ParseFleetVm(const std::string& vm, const std::string& text) {
+  Result<Json> json = ParseJson(text, vm);
+  if (!json) return tl::unexpected<Error>(json.error());
+  std::vector<JsonProblem> problems;
+  JsonReader reader(*json, "", &problems);
+  FleetVm out;
+  out.vm = vm;
+  out.zone = reader.String("zone");
+  out.region = reader.String("region");
+  out.address = reader.String("address");
+  out.front_port =
+      static_cast<uint16_t>(reader.Integer("front_port", 1, 65535));
+  out.peer_port = static_cast<uint16_t>(reader.Integer("peer_port", 1, 65535));
+  out.incarnation =
+      static_cast<uint64_t>(reader.Integer("incarnation", 0, INT64_MAX));
+  if (!problems.empty())
+    return Fail(JsonErrc::kSchema, FormatProblems(problems));
+  return out;
+}
+
+Fleet::Fleet(EventLoop* loop, FleetVm self, FleetLimiter* limiter,
+             EventLog* log)
+    : loop_(loop), self_(std::move(self)), limiter_(limiter), log_(log) {}
+
+Result<void> Fleet::Start(const std::string& secret) {
+  auto links = std::make_unique<PeerLinks>(
+      loop_, LinkIdentity{kCluster, self_.vm, self_.incarnation, {secret}},
+      self_.incarnation);
+  const Result<uint16_t> port = links->Listen(self_.address, self_.peer_port);
+  if (!port) return tl::unexpected<Error>(port.error());
+  links_ = std::move(links);
+  links_->signal_up.connect([this](const std::string& vm, uint64_t) {
+    const auto it = vms_.find(vm);
+    if (it == vms_.end()) return;
+    it->second.has_link = true;
+    it->second.is_refused = false;
+    log_->State("peer_up").Text("peer", vm);
+  });
+  links_->signal_down.connect([this](const std::string& vm, bool refused) {
+    const auto it = vms_.find(vm);
+    if (it == vms_.end()) return;
+    Member& member = it->second;
+    if (member.has_link || (refused && !member.is_refused)) {
+      log_->State("peer_down").Text("peer", vm).Flag("refused", refused);
+    }
+    member.has_link = false;
+    member.is_heard = false;
+    member.is_refused = member.is_refused || refused;
+  });
+  links_->signal_message.connect(
+      [this](const std::string& vm, const wire::MessageT& message) {
+        OnMessage(vm, message);
+      });
+  Relink();
+  timer_ = loop_->Every(kReportPeriod, [this] { Tick(); });
+  return {};
+}
+
+void Fleet::OnListed(const FleetVm& vm) {
+  if (vm.vm == self_.vm) return;
+  Member& member = vms_[vm.vm];
+  if (member.info.incarnation != vm.incarnation) member = Member{};
+  member.info = vm;
+  member.is_listed = true;
+  Relink();
+}
+
+void Fleet::OnUnlisted(const std::string& vm) {
+  const auto it = vms_.find(vm);
+  if (it == vms_.end()) return;
+  it->second.is_listed = false;
+  it->second.unlisted_at = EventLoop::Now();
+  if (!it->second.has_link && it->second.is_refused) {
+    vms_.erase(it);
+    Relink();
+  }
+}
+
+void Fleet::Relink() {
+  std::vector<std::string> names;
+  std::vector<PeerAddress> addresses;
+  for (const auto& [vm, it] : vms_) {
+    names.push_back(vm);
+    addresses.push_back({vm, it.info.address, it.info.peer_port});
+  }
+  limiter_->SetPeers(names, EventLoop::Now());
+  if (links_ == nullptr) return;
+  links_->SetAddresses(addresses);
+  links_->SetWanted(names);
+}
+
+void Fleet::SetOwnState(bool ready, bool leaving, bool keys_fresh,
+                        uint64_t catalog_version) {
+  const bool is_news = leaving != leaving_ || ready != ready_;
+  ready_ = ready;
+  leaving_ = leaving;
+  keys_fresh_ = keys_fresh;
+  catalog_version_ = catalog_version;
+  if (is_news) SendReports();
+}
+
+void Fleet::Tick() {
+  const TimePoint now = EventLoop::Now();
+  std::vector<std::string> departed;
+  for (const auto& [vm, it] : vms_) {
+    if (it.is_listed || it.has_link) continue;
+    if (it.is_refused || now - it.unlisted_at > kDeparture)
+      departed.push_back(vm);
+  }
+  for (const std::string& vm : departed) {
+    log_->State("peer_gone").Text("peer", vm);
+    vms_.erase(vm);
+  }
+  if (!departed.empty()) Relink();
+  const Duration spread =
+      FromSeconds(static_cast<double>(vms_.size()) / kReportsPerSecond);
+  if (now - reported_at_ >= std::max(kReportPeriod, spread) - kReportPeriod / 4)
+    SendReports();
+}
+
+void Fleet::SendReports() {
+  if (links_ == nullptr) return;
+  const TimePoint now = EventLoop::Now();
+  reported_at_ = now;
+  wire::FleetReportT report;
+  report.ready = ready_;
+  report.leaving = leaving_;
+  report.keys_fresh = keys_fresh_;
+  report.catalog_version = catalog_version_;
+  for (const WorkspaceUsage& it : limiter_->Report(now)) {
+    auto use = std::make_unique<wire::WorkspaceUseT>();
+    use->workspace = it.workspace;
+    use->admitted = it.admitted;
+    use->demand = static_cast<float>(it.demand);
+    use->level = static_cast<float>(it.level);
+    report.uses.push_back(std::move(use));
+  }
+  for (const std::string& vm : links_->linked()) {
+    wire::BodyUnion body;
+    body.Set(wire::FleetReportT(report));
+    links_->Send(vm, std::move(body));
+  }
+}
+
+void Fleet::OnMessage(const std::string& vm, const wire::MessageT& message) {
+  const wire::FleetReportT* report = message.body.AsFleetReport();
+  const auto it = vms_.find(vm);
+  if (report == nullptr || it == vms_.end()) return;
+  const TimePoint now = EventLoop::Now();
+  Member& member = it->second;
+  member.heard_at = now;
+  member.is_heard = true;
+  member.ready = report->ready;
+  member.leaving = report->leaving;
+  member.keys_fresh = report->keys_fresh;
+  std::vector<WorkspaceUsage> usage;
+  usage.reserve(report->uses.size());
+  for (const auto& use : report->uses)
+    usage.push_back({use->workspace, use->admitted, use->demand, use->level});
+  limiter_->OnReport(vm, links_->IncarnationOf(vm), usage, now);
+}
+
+bool Fleet::IsUsable(const Member& it, TimePoint now) const {
+  if (!it.is_listed || it.is_refused || it.leaving) return false;
+  // A VM without a link may still serve callers that reach it, but the ones
+  // that are heard are surer.
+  return it.is_heard && now - it.heard_at < kSilence && it.ready &&
+         it.keys_fresh;
+}
+
+std::vector<std::string> Fleet::AddressesFor(const std::string& zone,
+                                             const std::string& region) const {
+  const TimePoint now = EventLoop::Now();
+  std::vector<FleetVm> usable;
+  for (const auto& [vm, it] : vms_) {
+    if (IsUsable(it, now)) usable.push_back(it.info);
+  }
+  // This VM is left out only where others can do better.
+  const bool is_usable = ready_ && !leaving_ && keys_fresh_;
+  if (is_usable || usable.empty()) usable.push_back(self_);
+  const auto pick = [&](auto matches) {
+    std::vector<std::string> out;
+    for (const FleetVm& it : usable) {
+      if (matches(it))
+        out.push_back(fmt::format("{}:{}", it.address, it.front_port));
+    }
+    return out;
+  };
+  std::vector<std::string> out =
+      pick([&](const FleetVm& it) { return it.zone == zone; });
+  if (out.empty())
+    out = pick([&](const FleetVm& it) { return it.region == region; });
+  if (out.empty()) out = pick([](const FleetVm&) { return true; });
+  return out;
+}
+
+size_t Fleet::VmsInRegion() const {
+  return 1 + static_cast<size_t>(
+                 std::count_if(vms_.begin(), vms_.end(), [&](const auto& it) {
+                   return it.second.info.region == self_.region;
+                 }));
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/fleet.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/event_log.h"
+#include "net/event_loop.h"
+#include "net/peer_links.h"
+#include "traffic/fleet_limiter.h"
+
+namespace rwf {
+
+// One entry VM as it lists itself in the store.
+struct FleetVm {
+  std::string vm;
+  std::string zone;
+  std::string region;
+  std::string address;  // IPv4
+  uint16_t front_port = 0;
+  uint16_t peer_port = 0;
+  uint64_t incarnation = 0;
+  friend bool operator==(const FleetVm&, const FleetVm&) = default;
+};
+
+// The text of a VM's entry in the store, and back. Nothing is returned for text
+// that is no such entry.
+std::string FormatFleetVm(const FleetVm& vm);
+Result<FleetVm> ParseFleetVm(const std::string& vm, const std::string& text);
+
+// The other entry VMs: links to them, what they report, and which of them
+// callers may be sent to.
+class Fleet {
+ public:
+  // How often reports are sent while the fleet is small. Larger fleets report
+  // less often, so that a VM sends at most about kReportsPerSecond messages.
+  static constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
+  static constexpr double kReportsPerSecond = 120;
+  // A VM whose link is up is left out of look-ups after this silence.
+  static constexpr Duration kSilence = std::chrono::milliseconds(1500);
+  // A VM that left the list is still assumed to spend its part of the limits
+  // for this long unless its process is known to have ended.
+  static constexpr Duration kDeparture = std::chrono::seconds(6);
+
+  Fleet(EventLoop* loop, FleetVm self, FleetLimiter* limiter, EventLog* log);
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Opens links; `secret` proves that a peer belongs to the fleet.
+  Result<void> Start(const std::string& secret);
+  bool is_started() const { return links_ != nullptr; }
+
+  void OnListed(const FleetVm& vm);
+  void OnUnlisted(const std::string& vm);
+  void SetOwnState(bool ready, bool leaving, bool keys_fresh,
+                   uint64_t catalog_version);
+
+  // Front addresses that a caller of a zone should use, best first.
+  std::vector<std::string> AddressesFor(const std::string& zone,
+                                        const std::string& region) const;
+  // VMs of this region, this one included.
+  size_t VmsInRegion() const;
+  size_t size() const { return vms_.size(); }
+  // Sends the present state to all peers at once.
+  void SendReports();
+
+ private:
+  struct Member {
+    FleetVm info;
+    bool is_listed = true;
+    TimePoint unlisted_at{};
+    bool has_link = false;
+    bool is_refused = false;  // no process listens there
+    TimePoint heard_at{};
+    bool is_heard = false;
+    bool ready = false;
+    bool leaving = false;
+    bool keys_fresh = false;
+  };
+  void Relink();
+  void Tick();
+  bool IsUsable(const Member& it, TimePoint now) const;
+  void OnMessage(const std::string& vm, const wire::MessageT& message);
+
+  EventLoop* loop_;
+  FleetVm self_;
+  FleetLimiter* limiter_;
+  EventLog* log_;
+  std::unique_ptr<PeerLinks> links_;
+  std::map<std::string, Member> vms_;  // without this one
+  bool ready_ = false;
+  bool leaving_ = false;
+  bool keys_fresh_ = false;
+  uint64_t catalog_version_ = 0;
+  TimePoint reported_at_{};
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,337 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+
+namespace rwf {
+namespace {
+
+// Keys of the product in the store.
+constexpr std::string_view kVmPrefix = "rwf/vm/";
+constexpr const char* kSecretKey = "rwf/secret";
+constexpr size_t kSecretBytes = 32;
+constexpr Duration kStopStep = std::chrono::milliseconds(50);
+
+}  // namespace
+
+Gateway::Gateway(EventLoop* loop, GatewaySettings settings,
+                 RevisionStore* store, const StoreDecoder* decoder,
+                 EventLog* log)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      store_(store),
+      decoder_(decoder),
+      log_(log),
+      freshness_(FromSeconds(ToSeconds(settings_.revoke_within) * kFreshPart)),
+      placement_({settings_.self.region, settings_.max_shift}, &board_),
+      pool_(loop),
+      fleet_(loop, settings_.self, &limiter_, log),
+      watch_(loop, store, &BootTimeNow),
+      registration_(loop, store, std::string(kVmPrefix) + settings_.self.vm,
+                    FormatFleetVm(settings_.self)) {
+  FrontServer::Callbacks callbacks;
+  callbacks.on_request = [this](CallerId caller, ReceivedMessage request) {
+    forwarder_->Handle(caller, std::move(request));
+  };
+  callbacks.on_left = [this](CallerId caller) {
+    forwarder_->OnCallerLeft(caller);
+  };
+  front_ = std::make_unique<FrontServer>(loop, std::move(callbacks));
+  ForwarderParts parts;
+  parts.loop = loop;
+  parts.dialect = &settings_.dialect;
+  parts.board = &board_;
+  parts.placement = &placement_;
+  parts.limiter = &limiter_;
+  parts.budget = &budget_;
+  parts.pool = &pool_;
+  parts.freshness = &freshness_;
+  parts.log = log;
+  parts.metrics = &metrics_;
+  parts.front = front_.get();
+  parts.home_users = [this] { return fleet_.VmsInRegion(); };
+  forwarder_ = std::make_unique<Forwarder>(std::move(parts));
+  SetRetryBounds();
+  watch_.signal_item.connect([this](const StoreItem& it) { OnItem(it); });
+  watch_.signal_removed.connect(
+      [this](const std::string& key) { OnRemoved(key); });
+  watch_.signal_loaded.connect([this] { OnLoaded(); });
+  watch_.signal_confirmed.connect(
+      [this](TimePoint t) { freshness_.OnConfirmed(t); });
+  watch_.signal_connection.connect(
+      [this](bool connected, const std::string& reason) {
+        log_->State(connected ? "store_connected" : "store_lost")
+            .Text("reason", reason)
+            .Number("revision", static_cast<int64_t>(watch_.revision()));
+      });
+  metrics_.AddValue("rwf_upstream_connections_opened_total",
+                    "Connections opened to upstreams",
+                    [this] { return double(pool_.counters().opened); });
+  metrics_.AddValue("rwf_upstream_connections_reused_total",
+                    "Requests sent on a kept connection",
+                    [this] { return double(pool_.counters().reused); });
+  metrics_.AddValue("rwf_open_requests", "Requests without an answer",
+                    [this] { return double(forwarder_->open()); });
+  metrics_.AddValue("rwf_caller_connections", "Connections of callers",
+                    [this] { return double(front_->connections()); });
+  metrics_.AddValue("rwf_instances", "Upstream instances known",
+                    [this] { return double(board_.size()); });
+  metrics_.AddValue("rwf_peers", "Other entry VMs known",
+                    [this] { return double(fleet_.size()); });
+  metrics_.AddValue("rwf_log_lines_dropped_total",
+                    "Log lines dropped by a limit or a slow reader",
+                    [this] { return double(log_->dropped()); });
+  metrics_.AddValue("rwf_key_confirmation_age_seconds",
+                    "Time since the configuration was last known to be current",
+                    [this] {
+                      const auto age = freshness_.AgeAt(BootTimeNow());
+                      return age ? ToSeconds(*age) : -1;
+                    });
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::Start() {
+  const Result<void> listening =
+      front_->Listen(settings_.self.address, settings_.self.front_port);
+  if (!listening) return listening;
+  log_->State("start")
+      .Text("zone", settings_.self.zone)
+      .Number("incarnation", static_cast<int64_t>(settings_.self.incarnation));
+  watch_.Start();
+  registration_.Start();
+  timer_ = loop_->Every(kTick, [this] { Tick(); });
+  return {};
+}
+
+bool Gateway::IsReady() const {
+  return !is_leaving_ && watch_.is_loaded() && forwarder_->catalog() != nullptr;
+}
+
+bool Gateway::KeysFresh() const { return freshness_.IsFresh(BootTimeNow()); }
+
+void Gateway::OnItem(const StoreItem& item) {
+  if (item.key == kSecretKey) {
+    OnFleetSecret(item.value);
+    return;
+  }
+  if (item.key.starts_with(kVmPrefix)) {
+    const std::string vm = item.key.substr(kVmPrefix.size());
+    const Result<FleetVm> parsed = ParseFleetVm(vm, item.value);
+    if (parsed) {
+      fleet_.OnListed(*parsed);
+      SetRetryBounds();
+    } else {
+      log_->State("entry_unusable")
+          .Text("key", item.key)
+          .Text("reason", parsed.error().message);
+    }
+    return;
+  }
+  const StoreChange change = decoder_->Decode(item);
+  if (const auto* catalog =
+          std::get_if<std::shared_ptr<const Catalog>>(&change)) {
+    Apply(*catalog);
+  } else if (const auto* entry = std::get_if<InstanceEntry>(&change)) {
+    Apply(*entry);
+  } else if (const auto* zone = std::get_if<EvacuatedZone>(&change)) {
+    board_.SetEvacuated(zone->zone, true);
+    log_->State("zone_evacuated").Text("zone", zone->zone);
+  } else if (const auto* bad = std::get_if<UnusableEntry>(&change)) {
+    log_->State("entry_unusable")
+        .Text("key", item.key)
+        .Text("reason", bad->reason);
+    if (!bad->instance.empty()) RemoveInstance(bad->instance, "unusable-entry");
+  }
+}
+
+void Gateway::OnRemoved(const std::string& key) {
+  if (key.starts_with(kVmPrefix)) {
+    fleet_.OnUnlisted(key.substr(kVmPrefix.size()));
+    SetRetryBounds();
+    return;
+  }
+  const StoreRemoval removal = decoder_->DecodeRemoval(key);
+  if (const auto* ended = std::get_if<EndedEvacuation>(&removal)) {
+    EndEvacuation(ended->zone);
+    return;
+  }
+  const auto* gone = std::get_if<RemovedInstance>(&removal);
+  if (gone == nullptr) return;
+  const TimePoint now = EventLoop::Now();
+  const bool is_trouble = watch_.last_failure() != TimePoint{} &&
+                          now - watch_.last_failure() < kStoreTrouble;
+  if (is_trouble) {
+    lapsed_.try_emplace(gone->id, now);
+    log_->State("instance_lapsed").Text("instance", gone->id);
+    return;
+  }
+  RemoveInstance(gone->id, "entry-removed");
+}
+
+void Gateway::OnLoaded() {
+  if (!fleet_.is_started()) CreateSecret();
+}
+
+void Gateway::CreateSecret() {
+  const std::string secret = ToHex(RandomBytes(kSecretBytes));
+  store_->Write({kSecretKey, secret, 0, true, 0}, [](const Result<uint64_t>&) {
+    // The watch brings the secret that won.
+  });
+  secret_timer_ = loop_->After(std::chrono::seconds(1), [this] {
+    if (!fleet_.is_started() && !is_leaving_) CreateSecret();
+  });
+}
+
+void Gateway::OnFleetSecret(const std::string& secret) {
+  if (fleet_.is_started()) return;
+  const Result<void> started = fleet_.Start(secret);
+  if (!started) {
+    log_->State("peer_port_unavailable")
+        .Text("reason", started.error().message);
+  }
+}
+
+void Gateway::Apply(std::shared_ptr<const Catalog> catalog) {
+  const auto& present = forwarder_->catalog();
+  if (present != nullptr && catalog->version() <= present->version()) return;
+  log_->State("config_applied")
+      .Number("version", static_cast<int64_t>(catalog->version()))
+      .Number("previous",
+              present == nullptr ? 0 : static_cast<int64_t>(present->version()))
+      .Number("routes", static_cast<int64_t>(catalog->routes().size()));
+  limiter_.SetLimits(catalog->workspaces(), EventLoop::Now());
+  front_->SetLimits(catalog->limits());
+  services_.clear();
+  for (const TrafficRoute& route : catalog->routes()) {
+    for (const Backend& it : route.backends) services_.push_back(it.service);
+  }
+  std::sort(services_.begin(), services_.end());
+  services_.erase(std::unique(services_.begin(), services_.end()),
+                  services_.end());
+  forwarder_->SetCatalog(std::move(catalog));
+  Tick();
+}
+
+void Gateway::Apply(const InstanceEntry& entry) {
+  const TimePoint now = EventLoop::Now();
+  Beat& beat = beats_[entry.info.id];
+  // An entry that was under way when a newer one was written.
+  const bool is_older =
+      entry.info.born_ms < beat.born_ms ||
+      (entry.info.born_ms == beat.born_ms && entry.sequence < beat.sequence);
+  if (is_older) {
+    log_->State("entry_outdated")
+        .Text("instance", entry.info.id)
+        .Number("sequence", entry.sequence);
+    return;
+  }
+  beat = {entry.info.born_ms, entry.sequence};
+  lapsed_.erase(entry.info.id);
+  InstanceState* before = board_.Find(entry.info.id);
+  const bool was_draining = before != nullptr && before->info().is_draining;
+  const bool is_new = before == nullptr;
+  InstanceState* state = board_.Put(entry.info, now);
+  if (entry.cold_left > Duration::zero())
+    state->SetColdUntil(now + entry.cold_left);
+  if (is_new || was_draining != entry.info.is_draining) {
+    log_->State(entry.info.is_draining ? "instance_draining" : "instance_up")
+        .Text("instance", entry.info.id)
+        .Text("service", entry.info.service)
+        .Text("zone", entry.info.zone)
+        .Millis("cold_ms", entry.cold_left);
+  }
+  if (entry.info.is_draining) pool_.Forget(entry.info.id);
+}
+
+void Gateway::RemoveInstance(const std::string& id, const char* reason) {
+  if (board_.Find(id) == nullptr) return;
+  log_->State("instance_gone").Text("instance", id).Text("reason", reason);
+  board_.Remove(id);
+  pool_.Forget(id);
+  lapsed_.erase(id);
+}
+
+Duration Gateway::ColdStart() const {
+  Duration out{};
+  if (forwarder_->catalog() == nullptr) return out;
+  for (const std::string& name : services_) {
+    const TrafficService* service = forwarder_->catalog()->FindService(name);
+    if (service != nullptr) out = std::max(out, service->cold_start);
+  }
+  return out;
+}
+
+void Gateway::EndEvacuation(const std::string& zone) {
+  board_.SetEvacuated(zone, false);
+  // Idle instances may have cooled down; they say so only with their next
+  // entry.
+  board_.SetZoneCold(zone, EventLoop::Now() + ColdStart());
+  log_->State("zone_evacuation_ended").Text("zone", zone);
+}
+
+void Gateway::SetRetryBounds() {
+  const auto vms = static_cast<double>(1 + fleet_.size());
+  budget_.SetBounds({settings_.retry_ratio, settings_.retry_extra / vms,
+                     settings_.retry_window});
+}
+
+void Gateway::Tick() {
+  const TimePoint now = EventLoop::Now();
+  placement_.Tick(services_, now);
+  const bool is_fresh = KeysFresh();
+  if (is_fresh != was_fresh_) {
+    was_fresh_ = is_fresh;
+    const auto age = freshness_.AgeAt(BootTimeNow());
+    log_->State(is_fresh ? "keys_fresh" : "keys_stale")
+        .Millis("age_ms", age.value_or(Duration::zero()));
+  }
+  if (watch_.is_connected()) {
+    std::vector<std::string> gone;
+    for (const auto& [id, since] : lapsed_) {
+      const TimePoint from = std::max(since, watch_.last_failure());
+      if (now - from > kReturn) gone.push_back(id);
+    }
+    for (const std::string& id : gone) RemoveInstance(id, "did-not-return");
+  }
+  const auto& catalog = forwarder_->catalog();
+  fleet_.SetOwnState(IsReady(), is_leaving_, is_fresh,
+                     catalog == nullptr ? 0 : catalog->version());
+}
+
+void Gateway::BeginStop() {
+  if (is_leaving_) return;
+  is_leaving_ = true;
+  leaving_since_ = EventLoop::Now();
+  log_->State("stop").Number("open_requests",
+                             static_cast<int64_t>(forwarder_->open()));
+  registration_.Stop();
+  front_->CloseAfterAnswers();
+  Tick();
+  stop_timer_ = loop_->Every(kStopStep, [this] { StopStep(); });
+}
+
+void Gateway::StopStep() {
+  const Duration age = EventLoop::Now() - leaving_since_;
+  const Duration serve =
+      FromSeconds(ToSeconds(settings_.stop_within) * kServePart);
+  if (age < serve) return;
+  if (!is_closing_) {
+    is_closing_ = true;
+    front_->StopListening();
+    forwarder_->StopTaking();
+  }
+  front_->CloseIdle();
+  const bool is_done = forwarder_->open() == 0 &&
+                       front_->open_requests() == 0 &&
+                       front_->connections() == 0;
+  if (!is_done && age < settings_.stop_within - kStopMargin) return;
+  log_->State("stopped")
+      .Number("open_requests", static_cast<int64_t>(forwarder_->open()))
+      .Millis("after_ms", age);
+  log_->Flush();
+  loop_->Stop();
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/store_watch.cc
@@ -0,0 +1,146 @@
+#include "gateway/store_watch.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace rwf {
+
+StoreWatch::StoreWatch(EventLoop* loop, RevisionStore* store,
+                       std::function<TimePoint()> boot_now)
+    : loop_(loop), store_(store), boot_now_(std::move(boot_now)) {}
+
+void StoreWatch::Start() {
+  loading_.clear();
+  load_revision_ = 0;
+  Load("");
+}
+
+void StoreWatch::Load(const std::string& after) {
+  asked_at_ = boot_now_();
+  if (after.empty()) load_asked_at_ = asked_at_;
+  store_->Range("", after,
+                [this](Result<ItemPage> page) { OnPage(std::move(page)); });
+}
+
+void StoreWatch::OnPage(Result<ItemPage> page) {
+  if (!page) {
+    Fail(page.error());
+    return;
+  }
+  NoteAnswer();
+  // Pages are no snapshot: changes after the first one are watched for.
+  if (load_revision_ == 0) load_revision_ = page->revision;
+  for (const StoreItem& it : page->items) {
+    loading_[it.key] = it.revision;
+    Deliver(it);
+  }
+  if (page->has_more && !page->items.empty()) {
+    Load(page->items.back().key);
+    return;
+  }
+  FinishLoad();
+}
+
+void StoreWatch::FinishLoad() {
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : known_) {
+    // A key that was written while pages were read may be on a later page only.
+    if (!loading_.contains(key) && revision <= load_revision_)
+      gone.push_back(key);
+  }
+  for (const std::string& key : gone) {
+    known_.erase(key);
+    signal_removed.emit(key);
+  }
+  loading_.clear();
+  revision_ = load_revision_;
+  needs_load_ = false;
+  is_loaded_ = true;
+  signal_confirmed.emit(load_asked_at_);
+  signal_loaded.emit();
+  Watch();
+}
+
+void StoreWatch::Watch() {
+  asked_at_ = boot_now_();
+  store_->Watch("", revision_, kWait, [this](Result<ChangeSet> changes) {
+    OnChanges(std::move(changes));
+  });
+}
+
+void StoreWatch::OnChanges(Result<ChangeSet> changes) {
+  if (!changes) {
+    if (changes.error().code == StoreErrc::kHistoryGone) {
+      NoteAnswer();
+      needs_load_ = true;
+      Start();
+      return;
+    }
+    Fail(changes.error());
+    return;
+  }
+  NoteAnswer();
+  for (const StoreItem& it : changes->events) Deliver(it);
+  // Every change is an event here, so a revision that moves without events
+  // means that some were missed.
+  if (changes->events.empty() && changes->revision > revision_) {
+    needs_load_ = true;
+    Start();
+    return;
+  }
+  revision_ = std::max(revision_, changes->revision);
+  const TimePoint now = boot_now_();
+  const bool waited_in_full =
+      changes->events.empty() && now - asked_at_ >= kWait;
+  signal_confirmed.emit(waited_in_full ? asked_at_ + kWait : asked_at_);
+  if (waited_in_full) {
+    Watch();
+  } else {
+    retry_timer_ = loop_->After(kGather, [this] { Watch(); });
+  }
+}
+
+void StoreWatch::Deliver(const StoreItem& item) {
+  const auto it = known_.find(item.key);
+  if (it != known_.end() && item.revision <= it->second) return;
+  if (item.is_deleted) {
+    if (it == known_.end()) return;
+    known_.erase(it);
+    signal_removed.emit(item.key);
+    return;
+  }
+  known_[item.key] = item.revision;
+  signal_item.emit(item);
+}
+
+void StoreWatch::NoteAnswer() {
+  last_answer_ = EventLoop::Now();
+  backoff_ = kFirstBackoff;
+  if (is_connected_) return;
+  is_connected_ = true;
+  has_told_ = true;
+  signal_connection.emit(true, "");
+}
+
+void StoreWatch::Fail(const Error& error) {
+  last_failure_ = EventLoop::Now();
+  if (is_connected_ || !has_told_) {
+    is_connected_ = false;
+    has_told_ = true;
+    signal_connection.emit(false, error.message);
+  }
+  RetryLater();
+}
+
+void StoreWatch::RetryLater() {
+  retry_timer_ = loop_->After(backoff_, [this] {
+    if (needs_load_) {
+      Start();
+    } else {
+      Watch();
+    }
+  });
+  backoff_ = std::min(backoff_ * 2, kLongestBackoff);
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/store_watch.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/event_loop.h"
+#include "replica/revision_store.h"
+
+namespace rwf {
+
+// Follows everything in the store: reads it whole once, then waits for changes.
+// Reads again when the store has dropped the history or an answer shows that
+// changes were missed. Deliveries of one key never go back in revision.
+class StoreWatch {
+ public:
+  // Bounds both the time in which a silent connection is noticed and the age of
+  // the last confirmation. Every call is paid for.
+  static constexpr Duration kWait = std::chrono::milliseconds(2000);
+  // Changes often come in groups; waiting this long after one spares calls.
+  static constexpr Duration kGather = std::chrono::milliseconds(150);
+  static constexpr Duration kFirstBackoff = std::chrono::milliseconds(50);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(400);
+
+  // `boot_now` reads a clock that goes on while the VM is suspended.
+  StoreWatch(EventLoop* loop, RevisionStore* store,
+             std::function<TimePoint()> boot_now);
+  StoreWatch(const StoreWatch&) = delete;
+  StoreWatch& operator=(const StoreWatch&) = delete;
+
+  void Start();
+
+  bool is_loaded() const { return is_loaded_; }
+  bool is_connected() const { return is_connected_; }
+  // Monotonic time of the last answer and of the last failed call.
+  TimePoint last_answer() const { return last_answer_; }
+  TimePoint last_failure() const { return last_failure_; }
+  uint64_t revision() const { return revision_; }
+
+  // A key was written, or is seen for the first time.
+  sigc::signal<void(const StoreItem&)> signal_item;
+  sigc::signal<void(const std::string& key)> signal_removed;
+  // Everything has been read once, or once more.
+  sigc::signal<void()> signal_loaded;
+  // All changes before this time are known.
+  sigc::signal<void(TimePoint boot_time)> signal_confirmed;
+  sigc::signal<void(bool connected, const std::string& reason)>
+      signal_connection;
+
+ private:
+  void Load(const std::string& after);
+  void OnPage(Result<ItemPage> page);
+  void FinishLoad();
+  void Watch();
+  void OnChanges(Result<ChangeSet> changes);
+  void Deliver(const StoreItem& item);
+  void NoteAnswer();
+  void Fail(const Error& error);
+  void RetryLater();
+
+  EventLoop* loop_;
+  RevisionStore* store_;
+  std::function<TimePoint()> boot_now_;
+  std::map<std::string, uint64_t> known_;  // revision by key
+  std::map<std::string, uint64_t> loading_;
+  uint64_t revision_ = 0;
+  uint64_t load_revision_ = 0;
+  bool is_loaded_ = false;
+  bool needs_load_ = true;
+  bool is_connected_ = false;
+  bool has_told_ = false;
+  TimePoint asked_at_{};  // boot time of the call under way
+  TimePoint load_asked_at_{};
+  TimePoint last_answer_{};
+  TimePoint last_failure_{};
+  Duration backoff_ = kFirstBackoff;
+  std::unique_ptr<Timer> retry_timer_;
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/upstream_pool.cc
@@ -0,0 +1,261 @@
+#include "gateway/upstream_pool.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace rwf {
+namespace {
+
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+// Left unused at the end of the time that an instance keeps connections.
+constexpr Duration kIdleMargin = std::chrono::seconds(1);
+
+// The whole seconds of "timeout=N" in a Keep-Alive field, or zero.
+Duration StatedIdleTime(const HttpHeaders& headers) {
+  const std::string& text = headers.Get("Keep-Alive");
+  const size_t at = text.find("timeout=");
+  if (at == std::string::npos) return Duration::zero();
+  int n = 0;
+  std::from_chars(text.data() + at + 8, text.data() + text.size(), n);
+  return std::chrono::seconds(std::max(0, n));
+}
+
+}  // namespace
+
+UpstreamPool::Connection::~Connection() {
+  if (bev != nullptr) bufferevent_free(bev);
+}
+
+UpstreamPool::UpstreamPool(EventLoop* loop) : loop_(loop) {
+  timer_ = loop->Every(kSweepPeriod, [this] { DropOld(); });
+}
+
+UpstreamPool::~UpstreamPool() = default;
+
+UpstreamPool::SendId UpstreamPool::Send(const UpstreamTarget& target,
+                                        Request request, Callback callback) {
+  Connection* it = TakeIdle(target, request.may_repeat);
+  const SendId id = next_id_++;
+  const bool is_open = it != nullptr;
+  if (!is_open) it = Open(target);
+  it->send = id;
+  it->request = std::move(request);
+  it->callback = std::move(callback);
+  busy_[id] = it;
+  if (is_open) {
+    ++counters_.reused;
+    Write(it);
+  }
+  return id;
+}
+
+UpstreamPool::Connection* UpstreamPool::TakeIdle(const UpstreamTarget& target,
+                                                 bool may_repeat) {
+  const auto found = idle_.find(target.instance);
+  if (found == idle_.end()) return nullptr;
+  const TimePoint now = EventLoop::Now();
+  std::vector<Connection*>& list = found->second;
+  // The most recently used is last.
+  for (size_t n = list.size(); n > 0; --n) {
+    Connection* it = list[n - 1];
+    const Duration idle = now - it->idle_since;
+    const Duration limit =
+        may_repeat ? it->idle_limit : std::min(it->idle_limit, kIdleForOnce);
+    if (!(it->target == target) || idle > limit) continue;
+    list.erase(list.begin() + static_cast<ptrdiff_t>(n) - 1);
+    return it;
+  }
+  return nullptr;
+}
+
+UpstreamPool::Connection* UpstreamPool::Open(const UpstreamTarget& target) {
+  auto owned = std::make_unique<Connection>();
+  Connection* it = owned.get();
+  it->pool = this;
+  it->target = target;
+  it->bev = bufferevent_socket_new(loop_->base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(it->bev, &UpstreamPool::HandleRead, nullptr,
+                    &UpstreamPool::HandleEvent, it);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(target.port);
+  inet_pton(AF_INET, target.address.c_str(), &to.sin_addr);
+  all_.emplace(it, std::move(owned));
+  ++counters_.opened;
+  it->connect_timer = loop_->After(kConnectTimeout, [this, it] {
+    ++counters_.connect_failures;
+    Finish(it, {SendEnd::kConnectFailed, {}, false, false}, false);
+  });
+  if (bufferevent_socket_connect(it->bev, reinterpret_cast<sockaddr*>(&to),
+                                 sizeof(to)) != 0) {
+    it->connect_timer = loop_->After(Duration::zero(), [this, it] {
+      ++counters_.connect_failures;
+      Finish(it, {SendEnd::kConnectFailed, {}, false, false}, false);
+    });
+    return it;
+  }
+  const evutil_socket_t fd = bufferevent_getfd(it->bev);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+  return it;
+}
+
+void UpstreamPool::Write(Connection* it) {
+  it->state = State::kBusy;
+  it->parser.Reset(it->request.is_head);
+  bufferevent_enable(it->bev, EV_READ | EV_WRITE);
+  bufferevent_write(it->bev, it->request.bytes.data(),
+                    it->request.bytes.size());
+  it->request.bytes = {};
+}
+
+void UpstreamPool::HandleRead(bufferevent*, void* arg) {
+  auto* it = static_cast<Connection*>(arg);
+  // Bytes on an idle connection belong to no request.
+  if (it->state != State::kBusy) {
+    it->pool->Drop(it);
+    return;
+  }
+  it->pool->ReadAnswer(it);
+}
+
+void UpstreamPool::ReadAnswer(Connection* it) {
+  evbuffer* buf = bufferevent_get_input(it->bev);
+  while (evbuffer_get_length(buf) > 0) {
+    evbuffer_iovec part;
+    if (evbuffer_peek(buf, -1, nullptr, &part, 1) < 1) return;
+    const size_t n = it->parser.Feed(
+        {static_cast<const char*>(part.iov_base), part.iov_len});
+    evbuffer_drain(buf, n);
+    switch (it->parser.state()) {
+      case ParseState::kHead:
+      case ParseState::kBody:
+        if (n == 0) return;
+        continue;
+      case ParseState::kHeadTooLarge:
+      case ParseState::kBodyTooLarge:
+      case ParseState::kMalformed:
+        Finish(it, {SendEnd::kBroken, {}, it->was_used, true}, false);
+        return;
+      case ParseState::kComplete:
+        break;
+    }
+    ReceivedMessage answer = it->parser.Take();
+    const std::string& id = answer.headers.Get(it->request.id_header);
+    if (!id.empty() && id != it->request.request_id) {
+      // A late second answer to an earlier request. The one that is due
+      // follows it.
+      ++counters_.foreign_answers;
+      it->is_suspect = true;
+      it->parser.Reset(it->request.is_head);
+      continue;
+    }
+    const bool has_more = evbuffer_get_length(buf) > 0;
+    const bool has_unsent =
+        evbuffer_get_length(bufferevent_get_output(it->bev)) > 0;
+    const bool keeps =
+        answer.keep_alive && !has_more && !has_unsent && !it->is_suspect;
+    const bool was_used = it->was_used;
+    const Duration stated = StatedIdleTime(answer.headers);
+    if (stated > Duration::zero())
+      it->idle_limit = std::min(kIdleFor, stated - kIdleMargin);
+    Finish(it, {SendEnd::kAnswered, std::move(answer), was_used, true}, keeps);
+    return;
+  }
+}
+
+void UpstreamPool::HandleEvent(bufferevent*, short what, void* arg) {
+  auto* it = static_cast<Connection*>(arg);
+  UpstreamPool* pool = it->pool;
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    it->connect_timer.reset();
+    pool->Write(it);
+    return;
+  }
+  switch (it->state) {
+    case State::kConnecting:
+      ++pool->counters_.connect_failures;
+      pool->Finish(it, {SendEnd::kConnectFailed, {}, false, false}, false);
+      return;
+    case State::kIdle:
+      pool->Drop(it);
+      return;
+    case State::kBusy:
+      break;
+  }
+  const bool has_begun = it->parser.has_begun();
+  // Only a clean end completes an answer without a length.
+  if ((what & BEV_EVENT_EOF) != 0) it->parser.FeedEnd();
+  if (it->parser.state() == ParseState::kComplete) {
+    ReceivedMessage answer = it->parser.Take();
+    const std::string& id = answer.headers.Get(it->request.id_header);
+    if (id.empty() || id == it->request.request_id) {
+      pool->Finish(it,
+                   {SendEnd::kAnswered, std::move(answer), it->was_used, true},
+                   false);
+      return;
+    }
+  }
+  pool->Finish(it, {SendEnd::kBroken, {}, it->was_used, has_begun}, false);
+}
+
+void UpstreamPool::Finish(Connection* it, SendResult result, bool keeps) {
+  const Callback callback = std::move(it->callback);
+  busy_.erase(it->send);
+  it->send = 0;
+  it->callback = nullptr;
+  std::vector<Connection*>& list = idle_[it->target.instance];
+  if (keeps && list.size() < kMaxIdlePerInstance &&
+      it->idle_limit > Duration::zero()) {
+    it->state = State::kIdle;
+    it->was_used = true;
+    it->idle_since = EventLoop::Now();
+    list.push_back(it);
+  } else {
+    all_.erase(it);
+  }
+  callback(std::move(result));
+}
+
+void UpstreamPool::Cancel(SendId id) {
+  const auto it = busy_.find(id);
+  if (it == busy_.end()) return;
+  Connection* connection = it->second;
+  busy_.erase(it);
+  all_.erase(connection);
+}
+
+void UpstreamPool::Drop(Connection* it) {
+  std::erase(idle_[it->target.instance], it);
+  all_.erase(it);
+}
+
+void UpstreamPool::Forget(const std::string& instance) {
+  const auto it = idle_.find(instance);
+  if (it == idle_.end()) return;
+  const std::vector<Connection*> list = std::move(it->second);
+  idle_.erase(it);
+  for (Connection* connection : list) all_.erase(connection);
+}
+
+void UpstreamPool::DropOld() {
+  const TimePoint now = EventLoop::Now();
+  std::vector<Connection*> old;
+  for (const auto& [instance, list] : idle_) {
+    for (Connection* it : list) {
+      if (now - it->idle_since > it->idle_limit) old.push_back(it);
+    }
+  }
+  for (Connection* it : old) Drop(it);
+  std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/http/parser.cc
@@ -0,0 +1,244 @@
+#include "http/parser.h"
+
+#include <fmt/format.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <climits>
+#include <vector>
+
+namespace rwf {
+namespace {
+
+bool EqualNoCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::vector<std::string_view> SplitList(std::string_view text) {
+  std::vector<std::string_view> out;
+  while (!text.empty()) {
+    const size_t n = std::min(text.find(','), text.size());
+    std::string_view it = text.substr(0, n);
+    while (!it.empty() && it.front() == ' ') it.remove_prefix(1);
+    while (!it.empty() && it.back() == ' ') it.remove_suffix(1);
+    if (!it.empty()) out.push_back(it);
+    text.remove_prefix(std::min(n + 1, text.size()));
+  }
+  return out;
+}
+
+// The parser has no public call for this.
+bool HasFraming(const http_parser& raw, bool is_head_response) {
+  return is_head_response || raw.status_code / 100 == 1 ||
+         raw.status_code == 204 || raw.status_code == 304 ||
+         (raw.flags & F_CHUNKED) != 0 || raw.content_length != ULLONG_MAX;
+}
+
+void AppendFields(const HttpHeaders& headers, std::string* out) {
+  for (const auto& [name, value] : headers) {
+    out->append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+}  // namespace
+
+MessageParser::MessageParser(HttpSide side, MessageLimits limits)
+    : side_(side), limits_(limits) {
+  Reset();
+}
+
+void MessageParser::Reset(bool is_head_response) {
+  http_parser_init(&raw_,
+                   side_ == HttpSide::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  raw_.data = this;
+  state_ = ParseState::kHead;
+  message_ = ReceivedMessage{};
+  field_.clear();
+  value_.clear();
+  has_value_ = false;
+  has_begun_ = false;
+  head_bytes_ = 0;
+  is_head_response_ = is_head_response;
+}
+
+const http_parser_settings& MessageParser::Settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings it;
+    http_parser_settings_init(&it);
+    it.on_url = &MessageParser::HandleUrl;
+    it.on_header_field = &MessageParser::HandleField;
+    it.on_header_value = &MessageParser::HandleValue;
+    it.on_headers_complete = &MessageParser::HandleHead;
+    it.on_body = &MessageParser::HandleBody;
+    it.on_message_complete = &MessageParser::HandleComplete;
+    return it;
+  }();
+  return settings;
+}
+
+size_t MessageParser::Feed(std::string_view bytes) {
+  if (state_ != ParseState::kHead && state_ != ParseState::kBody) return 0;
+  if (bytes.empty()) return 0;
+  has_begun_ = true;
+  const size_t n =
+      http_parser_execute(&raw_, &Settings(), bytes.data(), bytes.size());
+  if (state_ == ParseState::kComplete) return n;
+  if (HTTP_PARSER_ERRNO(&raw_) != HPE_OK || raw_.upgrade != 0) {
+    if (state_ == ParseState::kHead || state_ == ParseState::kBody)
+      state_ = ParseState::kMalformed;
+  }
+  return n;
+}
+
+void MessageParser::FeedEnd() {
+  if (state_ != ParseState::kBody) return;
+  http_parser_execute(&raw_, &Settings(), nullptr, 0);
+  if (state_ != ParseState::kComplete) state_ = ParseState::kMalformed;
+}
+
+bool MessageParser::CountHeadBytes(size_t n) {
+  head_bytes_ += n;
+  if (limits_.max_header_bytes == 0 || head_bytes_ <= limits_.max_header_bytes)
+    return true;
+  state_ = ParseState::kHeadTooLarge;
+  return false;
+}
+
+void MessageParser::FlushField() {
+  if (!has_value_ && field_.empty()) return;
+  message_.headers.Add(std::move(field_), std::move(value_));
+  field_.clear();
+  value_.clear();
+  has_value_ = false;
+}
+
+int MessageParser::HandleUrl(http_parser* raw, const char* data, size_t n) {
+  MessageParser* self = Self(raw);
+  self->message_.target.append(data, n);
+  return self->CountHeadBytes(n) ? 0 : 1;
+}
+
+int MessageParser::HandleField(http_parser* raw, const char* data, size_t n) {
+  MessageParser* self = Self(raw);
+  // Trailers of a chunked body are dropped.
+  if (self->state_ == ParseState::kBody) return 0;
+  if (self->has_value_) self->FlushField();
+  self->field_.append(data, n);
+  return self->CountHeadBytes(n) ? 0 : 1;
+}
+
+int MessageParser::HandleValue(http_parser* raw, const char* data, size_t n) {
+  MessageParser* self = Self(raw);
+  if (self->state_ == ParseState::kBody) return 0;
+  self->has_value_ = true;
+  self->value_.append(data, n);
+  return self->CountHeadBytes(n) ? 0 : 1;
+}
+
+int MessageParser::HandleHead(http_parser* raw) {
+  MessageParser* self = Self(raw);
+  self->FlushField();
+  self->state_ = ParseState::kBody;
+  ReceivedMessage& message = self->message_;
+  message.keep_alive = http_should_keep_alive(raw) != 0;
+  if (self->side_ == HttpSide::kRequest) {
+    message.method = http_method_str(static_cast<http_method>(raw->method));
+    return 0;
+  }
+  message.status = raw->status_code;
+  message.is_framed = HasFraming(*raw, self->is_head_response_);
+  return self->is_head_response_ ? 1 : 0;
+}
+
+int MessageParser::HandleBody(http_parser* raw, const char* data, size_t n) {
+  MessageParser* self = Self(raw);
+  const size_t limit = self->limits_.max_body_bytes;
+  if (limit != 0 && self->message_.body.size() + n > limit) {
+    self->state_ = ParseState::kBodyTooLarge;
+    return 1;
+  }
+  self->message_.body.append(data, n);
+  return 0;
+}
+
+int MessageParser::HandleComplete(http_parser* raw) {
+  MessageParser* self = Self(raw);
+  // Interim responses announce the real one and are passed over.
+  if (self->side_ == HttpSide::kResponse && raw->status_code >= 100 &&
+      raw->status_code < 200) {
+    self->message_ = ReceivedMessage{};
+    self->state_ = ParseState::kHead;
+    return 0;
+  }
+  self->state_ = ParseState::kComplete;
+  http_parser_pause(raw, 1);
+  return 0;
+}
+
+std::string SerializeRequest(std::string_view method, std::string_view target,
+                             const HttpHeaders& headers,
+                             std::string_view body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendFields(headers, &out);
+  const bool has_body_semantics =
+      method == "POST" || method == "PUT" || method == "PATCH";
+  if (!body.empty() || has_body_semantics)
+    out.append(fmt::format("Content-Length: {}\r\n", body.size()));
+  out.append("\r\n").append(body);
+  return out;
+}
+
+std::string SerializeResponse(int status, const HttpHeaders& headers,
+                              std::string_view body, bool is_head_response) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(fmt::format("HTTP/1.1 {} {}\r\n", status,
+                         http_status_str(static_cast<http_status>(status))));
+  AppendFields(headers, &out);
+  const bool has_no_body = status == 204 || status == 304 || is_head_response;
+  if (!has_no_body)
+    out.append(fmt::format("Content-Length: {}\r\n", body.size()));
+  out.append("\r\n");
+  if (!has_no_body) out.append(body);
+  return out;
+}
+
+bool IsConnectionField(std::string_view name) {
+  static constexpr std::array<std::string_view, 10> kNames = {
+      "connection",
+      "keep-alive",
+      "proxy-connection",
+      "transfer-encoding",
+      "te",
+      "trailer",
+      "upgrade",
+      "expect",
+      "content-length",
+      "proxy-authorization"};
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view it) {
+    return EqualNoCase(it, name);
+  });
+}
+
+HttpHeaders ForwardableHeaders(const HttpHeaders& headers) {
+  std::vector<std::string_view> named;
+  for (const auto& [name, value] : headers) {
+    if (!EqualNoCase(name, "connection")) continue;
+    for (std::string_view it : SplitList(value)) named.push_back(it);
+  }
+  HttpHeaders out;
+  for (const auto& [name, value] : headers) {
+    if (IsConnectionField(name)) continue;
+    const bool is_named =
+        std::any_of(named.begin(), named.end(),
+                    [&](std::string_view it) { return EqualNoCase(it, name); });
+    if (!is_named) out.Add(name, value);
+  }
+  return out;
+}
+
+}  // namespace rwf
--- a/src/replica/store.cc
+++ b/src/replica/store.cc
@@ -20,6 +20,10 @@
         return "the store throttles calls";
       case StoreErrc::kBadAnswer:
         return "the answer of the store can't be read";
+      case StoreErrc::kHistoryGone:
+        return "the store no longer keeps these changes";
+      case StoreErrc::kNotHeld:
+        return "the lease has ended";
     }
     return "unknown store error";
   }
--- a/src/replica/store.h
+++ b/src/replica/store.h
@@ -21,7 +21,9 @@
   kUnknownOutcome,
   kTooLarge,
   kThrottled,
-  kBadAnswer
+  kBadAnswer,
+  kHistoryGone,  // the changes asked for are no longer kept
+  kNotHeld       // there is no such lease any more
 };
 std::error_code make_error_code(StoreErrc code);
 
--- /dev/null
+++ b/src/traffic/fleet_limiter.cc
@@ -0,0 +1,172 @@
+#include "traffic/fleet_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace rwf {
+namespace {
+
+constexpr Duration kShortestReturn = std::chrono::milliseconds(100);
+constexpr Duration kLongestReturn = std::chrono::seconds(2);
+
+}  // namespace
+
+void FleetLimiter::SetLimits(const std::vector<TrafficWorkspace>& workspaces,
+                             TimePoint now) {
+  std::set<std::string> limited;
+  for (const TrafficWorkspace& it : workspaces) {
+    if (it.rate <= 0) continue;
+    limited.insert(it.name);
+    const auto [found, is_new] = buckets_.try_emplace(it.name);
+    Bucket& bucket = found->second;
+    if (is_new) bucket.refilled_at = now;
+    Refill(&bucket, now);
+    bucket.rate = it.rate * kUsedPart;
+    bucket.burst = std::max(1.0, it.burst);
+    bucket.level = std::min(bucket.level, bucket.burst);
+  }
+  std::erase_if(buckets_,
+                [&](const auto& it) { return !limited.contains(it.first); });
+}
+
+void FleetLimiter::SetPeers(const std::vector<std::string>& peers,
+                            TimePoint now) {
+  for (auto& [name, bucket] : buckets_) Refill(&bucket, now);
+  std::map<std::string, Peer> next;
+  for (const std::string& it : peers) {
+    const auto old = peers_.find(it);
+    next[it] = old == peers_.end() ? Peer{} : old->second;
+  }
+  peers_ = std::move(next);
+}
+
+size_t FleetLimiter::HeardPeers(TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [&](const auto& it) { return IsHeard(it.second, now); }));
+}
+
+// The part of the fleet that this VM knows the spending of.
+double FleetLimiter::FleetPart(TimePoint now) const {
+  return static_cast<double>(1 + HeardPeers(now)) /
+         static_cast<double>(1 + peers_.size());
+}
+
+void FleetLimiter::Refill(Bucket* bucket, TimePoint now) const {
+  const double seconds = std::max(0.0, ToSeconds(now - bucket->refilled_at));
+  bucket->refilled_at = now;
+  const double part = FleetPart(now);
+  bucket->level = std::min(bucket->burst * part,
+                           bucket->level + bucket->rate * part * seconds);
+  const double share = ShareOf(*bucket, now);
+  const double depth = std::max(1.0, bucket->rate * share * kShareDepthSeconds);
+  bucket->share_tokens = std::min(
+      depth, bucket->share_tokens + bucket->rate * part * share * seconds);
+  bucket->demand *= std::exp(-seconds / ToSeconds(kDemandWindow));
+}
+
+double FleetLimiter::ShareOf(const Bucket& bucket, TimePoint now) const {
+  double all = bucket.demand;
+  size_t heard = 0;
+  for (const auto& [name, usage] : bucket.peers) {
+    const auto peer = peers_.find(name);
+    if (peer == peers_.end() || !IsHeard(peer->second, now)) continue;
+    ++heard;
+    all += usage.demand;
+  }
+  const double even = 1.0 / static_cast<double>(1 + heard);
+  if (all <= 0) return even;
+  return std::clamp(bucket.demand / all, even * kLeastShare, 1.0);
+}
+
+bool FleetLimiter::TryAdmit(const std::string& workspace, TimePoint now) {
+  const auto it = buckets_.find(workspace);
+  if (it == buckets_.end()) return true;
+  Bucket& bucket = it->second;
+  Refill(&bucket, now);
+  bucket.demand += 1 / ToSeconds(kDemandWindow);
+  if (bucket.level < 1) return false;
+  const bool is_free = bucket.level - 1 >= bucket.burst * kFreeLevel;
+  if (!is_free && bucket.share_tokens < 1) return false;
+  bucket.level -= 1;
+  bucket.share_tokens = std::max(0.0, bucket.share_tokens - 1);
+  ++bucket.admitted;
+  return true;
+}
+
+void FleetLimiter::Refund(const std::string& workspace) {
+  const auto it = buckets_.find(workspace);
+  if (it == buckets_.end() || it->second.admitted == 0) return;
+  Bucket& bucket = it->second;
+  bucket.level = std::min(bucket.burst, bucket.level + 1);
+  --bucket.admitted;
+}
+
+Duration FleetLimiter::RetryAfter(const std::string& workspace,
+                                  TimePoint now) const {
+  const auto it = buckets_.find(workspace);
+  if (it == buckets_.end()) return kShortestReturn;
+  const Bucket& bucket = it->second;
+  const double share = std::max(1e-3, ShareOf(bucket, now));
+  // Everybody refused meanwhile comes back too: the wait grows with the excess.
+  const double missing = std::max(1.0, 1 - bucket.level);
+  const double excess =
+      std::max(1.0, bucket.demand / std::max(0.1, bucket.rate * share));
+  return std::clamp(
+      FromSeconds(missing / std::max(0.1, bucket.rate * share) * excess),
+      kShortestReturn, kLongestReturn);
+}
+
+std::vector<WorkspaceUsage> FleetLimiter::Report(TimePoint now) {
+  std::vector<WorkspaceUsage> out;
+  for (auto& [name, bucket] : buckets_) {
+    Refill(&bucket, now);
+    if (bucket.admitted == 0 && bucket.demand < 0.01) continue;
+    out.push_back({name, bucket.admitted, bucket.demand, bucket.level});
+  }
+  return out;
+}
+
+void FleetLimiter::OnReport(const std::string& peer, uint64_t incarnation,
+                            const std::vector<WorkspaceUsage>& usage,
+                            TimePoint now) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) return;
+  for (auto& [name, bucket] : buckets_) Refill(&bucket, now);
+  Peer& state = found->second;
+  const bool is_new = state.incarnation != incarnation;
+  // What a VM spent while it was not heard was covered by its even part.
+  const bool was_silent = !IsHeard(state, now);
+  state.incarnation = incarnation;
+  state.heard_at = now;
+  state.is_heard = true;
+  for (auto& [name, bucket] : buckets_) {
+    if (is_new) bucket.peers.erase(peer);
+    if (const auto it = bucket.peers.find(peer); it != bucket.peers.end())
+      it->second.demand = 0;
+  }
+  for (const WorkspaceUsage& it : usage) {
+    const auto own = buckets_.find(it.workspace);
+    if (own == buckets_.end()) continue;
+    Bucket& bucket = own->second;
+    PeerUsage& known = bucket.peers[peer];
+    if (known.is_known && !was_silent) {
+      bucket.level -= static_cast<double>(it.admitted) -
+                      static_cast<double>(known.admitted);
+      // Refunds of a peer never lift the level above the burst, and one that
+      // overspent is not held against the rate for more than a second.
+      bucket.level = std::clamp(bucket.level, -bucket.rate, bucket.burst);
+    }
+    // A VM that has just started takes over what the others have left.
+    if (!bucket.has_peer_level) {
+      bucket.level = std::max(bucket.level, it.level);
+      bucket.has_peer_level = true;
+    }
+    known.admitted = it.admitted;
+    known.demand = it.demand;
+    known.is_known = true;
+  }
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/traffic/fleet_limiter.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "traffic/catalog.h"
+
+namespace rwf {
+
+// What one VM tells the others of one workspace.
+struct WorkspaceUsage {
+  std::string workspace;
+  uint64_t admitted = 0;  // since the process started
+  double demand = 0;      // arrivals a second, admitted or not
+  double level = 0;       // tokens that it believes the fleet has left
+  friend bool operator==(const WorkspaceUsage&,
+                         const WorkspaceUsage&) = default;
+};
+
+// Holds each workspace to its rate and burst over all VMs together.
+//
+// Every VM keeps a replica of one token bucket for each workspace and subtracts
+// what the others report to have admitted. While the bucket is well filled a VM
+// admits freely; when it is low, a VM spends only its share of the refill,
+// which follows its share of the demand. VMs that are not heard are assumed to
+// spend an even part, so that the parts of a partitioned fleet together stay
+// within the rate.
+class FleetLimiter {
+ public:
+  // Part of the burst above which tokens are taken without regard to shares.
+  static constexpr double kFreeLevel = 0.5;
+  // Time constant of the demand estimate.
+  static constexpr Duration kDemandWindow = std::chrono::milliseconds(1500);
+  // A VM that was not heard for this long is assumed to spend an even part.
+  static constexpr Duration kSilence = std::chrono::milliseconds(700);
+  // Smallest share of the refill, as a part of an even one, so that a workspace
+  // that turns to another VM is not refused there until the next reports.
+  static constexpr double kLeastShare = 0.25;
+  // Tokens of the own share that may be saved, in seconds of refill.
+  static constexpr double kShareDepthSeconds = 0.5;
+  // Part of the rate that is given out; the rest covers reports under way.
+  static constexpr double kUsedPart = 1.0;
+
+  // Limits of a new configuration. Buckets of known workspaces keep their
+  // levels, new ones start empty.
+  void SetLimits(const std::vector<TrafficWorkspace>& workspaces,
+                 TimePoint now);
+  // All VMs of the fleet but this one, heard or not.
+  void SetPeers(const std::vector<std::string>& peers, TimePoint now);
+
+  // Takes a token; false if the request is over the limit.
+  bool TryAdmit(const std::string& workspace, TimePoint now);
+  // The request did not run after all.
+  void Refund(const std::string& workspace);
+  // Time until a token can be expected.
+  Duration RetryAfter(const std::string& workspace, TimePoint now) const;
+
+  std::vector<WorkspaceUsage> Report(TimePoint now);
+  void OnReport(const std::string& peer, uint64_t incarnation,
+                const std::vector<WorkspaceUsage>& usage, TimePoint now);
+
+ private:
+  struct PeerUsage {
+    uint64_t admitted = 0;
+    double demand = 0;
+    double admit_rate = 0;
+    bool is_known = false;
+  };
+  struct Bucket {
+    double rate = 0;
+    double burst = 0;
+    double level = 0;
+    double share_tokens = 0;
+    double demand = 0;
+    uint64_t admitted = 0;
+    TimePoint refilled_at{};
+    bool has_peer_level = false;
+    std::map<std::string, PeerUsage> peers;
+  };
+  struct Peer {
+    uint64_t incarnation = 0;
+    TimePoint heard_at{};
+    bool is_heard = false;
+  };
+  void Refill(Bucket* bucket, TimePoint now) const;
+  double ShareOf(const Bucket& bucket, TimePoint now) const;
+  size_t HeardPeers(TimePoint now) const;
+  bool IsHeard(const Peer& peer, TimePoint now) const {
+    return peer.is_heard && now - peer.heard_at < kSilence;
+  }
+  double FleetPart(TimePoint now) const;
+
+  std::map<std::string, Bucket> buckets_;
+  std::map<std::string, Peer> peers_;
+  TimePoint started_at_{};
+};
+
+}  // namespace rwf
--- /dev/null
+++ b/src/traffic/instance_board.cc
@@ -0,0 +1,172 @@
+#include "traffic/instance_board.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace rwf {
+namespace {
+
+double Decayed(double value, Duration age, Duration half_life) {
+  if (age <= Duration::zero()) return value;
+  return value * std::exp2(-ToSeconds(age) / ToSeconds(half_life));
+}
+
+}  // namespace
+
+const char* AttemptEndName(AttemptEnd end) {
+  static constexpr std::array<const char*, 8> kNames = {
+      "succeeded", "connect-failed", "shed",      "misdirected",
+      "broken",    "instance-error", "timed-out", "cancelled"};
+  return kNames[static_cast<size_t>(end)];
+}
+
+void InstanceState::OnSent(uint64_t attempt, uint64_t object, Duration expected,
+                           TimePoint now) {
+  attempts_[attempt] = {now, expected, object};
+}
+
+void InstanceState::OnEnded(uint64_t attempt, AttemptEnd end, TimePoint now) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  const Attempt ended = it->second;
+  attempts_.erase(it);
+  switch (end) {
+    case AttemptEnd::kSucceeded: {
+      const double ratio = ToSeconds(now - ended.at) /
+                           std::max(0.001, ToSeconds(ended.expected));
+      const double before = SlownessAt(now);
+      slowness_ = std::max(1.0, before + 0.3 * (ratio - before));
+      slowness_at_ = now;
+      failures_in_row_ = 0;
+      failure_share_ -= kFailureWeight * failure_share_;
+      ejection_ = kFirstEjection;
+      is_proven_ = true;
+      if (ended.object != 0) Remember(ended.object, now);
+      return;
+    }
+    case AttemptEnd::kShed:
+      shed_until_ = now + kShedPause;
+      // A rejection without load is a fault, not a lack of room.
+      if (LoadAt(now) < static_cast<double>(info_.slots))
+        CountFailure(now, /*ejects_at_once=*/false);
+      return;
+    case AttemptEnd::kConnectFailed:
+    case AttemptEnd::kMisdirected:
+      CountFailure(now, /*ejects_at_once=*/true);
+      return;
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kInstanceError:
+    case AttemptEnd::kTimedOut:
+      CountFailure(now, /*ejects_at_once=*/false);
+      return;
+    case AttemptEnd::kCancelled:
+      return;
+  }
+}
+
+void InstanceState::CountFailure(TimePoint now, bool ejects_at_once) {
+  ++failures_in_row_;
+  failure_share_ += kFailureWeight * (1 - failure_share_);
+  if (!ejects_at_once && failures_in_row_ < kFailuresToEject &&
+      failure_share_ < kGreyShare)
+    return;
+  if (now < ejected_until_) return;
+  ejected_until_ = now + ejection_;
+  ejection_ = std::min(ejection_ * 2, kLongestEjection);
+  // One more failure after the ejection is enough for the next one.
+  failures_in_row_ = kFailuresToEject - 1;
+}
+
+void InstanceState::Remember(uint64_t object, TimePoint now) {
+  warm_[object] = now;
+  if (warm_.size() <= kWarmObjects) return;
+  const auto oldest = std::min_element(
+      warm_.begin(), warm_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  warm_.erase(oldest);
+}
+
+void InstanceState::OnReport(int64_t running, int64_t waiting, TimePoint now) {
+  others_ =
+      std::max<double>(0, static_cast<double>(running + waiting) - in_flight());
+  reported_at_ = now;
+}
+
+double InstanceState::LoadAt(TimePoint now) const {
+  return in_flight() + Decayed(others_, now - reported_at_, kReportHalfLife);
+}
+
+double InstanceState::SlownessAt(TimePoint now) const {
+  double out =
+      1 + Decayed(slowness_ - 1, now - slowness_at_, kSlownessHalfLife);
+  for (const auto& [id, it] : attempts_) {
+    out = std::max(
+        out, ToSeconds(now - it.at) / std::max(0.001, ToSeconds(it.expected)));
+  }
+  return out;
+}
+
+bool InstanceState::IsWarmFor(uint64_t object, TimePoint now) const {
+  const auto it = warm_.find(object);
+  return it != warm_.end() && now - it->second < kWarmFor;
+}
+
+InstanceState* InstanceBoard::Put(const InstanceInfo& info, TimePoint) {
+  std::unique_ptr<InstanceState>& slot = by_id_[info.id];
+  if (slot != nullptr && slot->info().born_ms == info.born_ms &&
+      slot->info().service == info.service &&
+      slot->info().address == info.address && slot->info().port == info.port) {
+    slot->set_info(info);
+    return slot.get();
+  }
+  const std::string before = slot == nullptr ? "" : slot->info().service;
+  slot = std::make_unique<InstanceState>(info);
+  if (!before.empty() && before != info.service) Reindex(before);
+  Reindex(info.service);
+  return slot.get();
+}
+
+void InstanceBoard::Remove(const std::string& id) {
+  const auto it = by_id_.find(id);
+  if (it == by_id_.end()) return;
+  const std::string service = it->second->info().service;
+  by_id_.erase(it);
+  Reindex(service);
+}
+
+InstanceState* InstanceBoard::Find(const std::string& id) {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : it->second.get();
+}
+
+const std::vector<InstanceState*>& InstanceBoard::OfService(
+    const std::string& service) const {
+  static const std::vector<InstanceState*> kNone;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
+void InstanceBoard::SetEvacuated(const std::string& zone, bool evacuated) {
+  if (evacuated) {
+    evacuated_.insert(zone);
+  } else {
+    evacuated_.erase(zone);
+  }
+}
+
+void InstanceBoard::SetZoneCold(const std::string& zone, TimePoint t) {
+  for (const auto& [id, it] : by_id_) {
+    if (it->info().zone == zone) it->SetColdUntil(t);
+  }
+}
+
+void InstanceBoard::Reindex(const std::string& service) {
+  std::vector<InstanceState*>& list = by_service_[service];
+  list.clear();
+  for (const auto& [id, it] : by_id_) {
+    if (it->info().service == service) list.push_back(it.get());
+  }
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/traffic/region_split.cc
@@ -0,0 +1,54 @@
+#include "traffic/region_split.h"
+
+#include <algorithm>
+
+namespace rwf {
+namespace {
+
+// Part of the even share of slots with which a region begins alone.
+constexpr double kEvenPartNeeded = 0.9;
+// Steps longer than this come from a pause and count as this long.
+constexpr Duration kLongestStep = std::chrono::seconds(1);
+
+}  // namespace
+
+void RegionSplit::Begin(const std::string& service, double home_slots,
+                        double all_slots, size_t regions, TimePoint now) {
+  const double even =
+      all_slots / static_cast<double>(std::max<size_t>(1, regions));
+  double away = 0;
+  if (even > 0) {
+    away =
+        std::clamp(1 - home_slots / (even * kEvenPartNeeded), 0.0, kMostAway);
+  }
+  shares_[service] = {away, now};
+}
+
+void RegionSplit::OnLoad(const std::string& service, double load,
+                         double away_load, TimePoint now) {
+  Share& share = shares_[service];
+  const Duration step = std::min(now - share.at, kLongestStep);
+  share.at = now;
+  const double most = max_shift_ * kShiftPart * ToSeconds(step);
+  // Work goes away only towards regions that are less busy.
+  if (load > kBusyLoad && away_load < load) {
+    share.away = std::min(kMostAway, share.away + most);
+  } else if (load < kIdleLoad) {
+    share.away = std::max(0.0, share.away - most);
+  }
+}
+
+double RegionSplit::ShareAway(const std::string& service) const {
+  const auto it = shares_.find(service);
+  return it == shares_.end() ? 0 : it->second.away;
+}
+
+bool RegionSplit::IsAway(const std::string& service, uint64_t object) const {
+  // The hash is independent of the one that ranks instances.
+  const uint64_t h = object * 0x9E3779B97F4A7C15ULL;
+  const double point =
+      static_cast<double>(h >> 11) / static_cast<double>(1ULL << 53);
+  return point < ShareAway(service);
+}
+
+}  // namespace rwf
