Admit by objective in a full region and keep objects on their instances

A VM cut off from the store also held entries that had been removed meanwhile. Ruled out: too few slots (156 of 192 wanted when all work is warm).

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -57,6 +57,7 @@
     const auto it = vms_.find(vm);
     if (it == vms_.end()) return;
     it->second.has_link = true;
+    it->second.heard_at = EventLoop::Now();
     it->second.is_refused = false;
     log_->State("peer_up").Text("peer", vm);
   });
@@ -114,12 +115,13 @@
 }
 
 void Fleet::SetOwnState(bool ready, bool leaving, bool keys_fresh,
-                        uint64_t catalog_version) {
+                        uint64_t catalog_version, Duration store_contact) {
   const bool is_news = leaving != leaving_ || ready != ready_;
   ready_ = ready;
   leaving_ = leaving;
   keys_fresh_ = keys_fresh;
   catalog_version_ = catalog_version;
+  store_contact_ = store_contact;
   if (is_news) SendReports();
 }
 
@@ -136,6 +138,9 @@
     vms_.erase(vm);
   }
   if (!departed.empty()) Relink();
+  for (const auto& [vm, it] : vms_) {
+    if (it.has_link && now - it.heard_at > kSilentLink) links_->Close(vm);
+  }
   const Duration spread =
       FromSeconds(static_cast<double>(vms_.size()) / kReportsPerSecond);
   if (now - reported_at_ >= std::max(kReportPeriod, spread) - kReportPeriod / 4)
@@ -151,6 +156,7 @@
   report.leaving = leaving_;
   report.keys_fresh = keys_fresh_;
   report.catalog_version = catalog_version_;
+  report.store_contact_ms = static_cast<uint64_t>(ToMillis(store_contact_));
   for (const WorkspaceUsage& it : limiter_->Report(now)) {
     auto use = std::make_unique<wire::WorkspaceUseT>();
     use->workspace = it.workspace;
@@ -177,6 +183,7 @@
   member.ready = report->ready;
   member.leaving = report->leaving;
   member.keys_fresh = report->keys_fresh;
+  member.store_contact = std::chrono::milliseconds(report->store_contact_ms);
   std::vector<WorkspaceUsage> usage;
   usage.reserve(report->uses.size());
   for (const auto& use : report->uses)
@@ -218,6 +225,16 @@
   return out;
 }
 
+Duration Fleet::LongestStoreContact() const {
+  const TimePoint now = EventLoop::Now();
+  Duration out{};
+  for (const auto& [vm, it] : vms_) {
+    if (it.is_heard && now - it.heard_at < kSilence)
+      out = std::max(out, it.store_contact);
+  }
+  return out;
+}
+
 size_t Fleet::VmsInRegion() const {
   return 1 + static_cast<size_t>(
                  std::count_if(vms_.begin(), vms_.end(), [&](const auto& it) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -42,6 +42,9 @@
   static constexpr double kReportsPerSecond = 120;
   // A VM whose link is up is left out of look-ups after this silence.
   static constexpr Duration kSilence = std::chrono::milliseconds(1500);
+  // A link without a report for this long is closed: after a partition its
+  // bytes would wait for a retransmission for seconds.
+  static constexpr Duration kSilentLink = std::chrono::milliseconds(2000);
   // A VM that left the list is still assumed to spend its part of the limits
   // for this long unless its process is known to have ended.
   static constexpr Duration kDeparture = std::chrono::seconds(6);
@@ -57,7 +60,10 @@
   void OnListed(const FleetVm& vm);
   void OnUnlisted(const std::string& vm);
   void SetOwnState(bool ready, bool leaving, bool keys_fresh,
-                   uint64_t catalog_version);
+                   uint64_t catalog_version, Duration store_contact);
+  // The longest time for which a VM that was heard lately has had the store
+  // without a failure; zero if none has it.
+  Duration LongestStoreContact() const;
 
   // Front addresses that a caller of a zone should use, best first.
   std::vector<std::string> AddressesFor(const std::string& zone,
@@ -80,6 +86,7 @@
     bool ready = false;
     bool leaving = false;
     bool keys_fresh = false;
+    Duration store_contact{};
   };
   void Relink();
   void Tick();
@@ -96,6 +103,7 @@
   bool leaving_ = false;
   bool keys_fresh_ = false;
   uint64_t catalog_version_ = 0;
+  Duration store_contact_{};
   TimePoint reported_at_{};
   std::unique_ptr<Timer> timer_;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -17,6 +17,9 @@
 // should wait: one round of the store watch.
 constexpr Duration kRetryWhenUninformed = std::chrono::milliseconds(700);
 
+// A deadline shorter than the longest of its route by this much is that of a
+// caller who has waited already.
+constexpr int64_t kReturningGapMs = 60;
 // A caller refused by a VM that stops finds another one at once.
 constexpr Duration kRetryWhenStopping = std::chrono::milliseconds(50);
 
@@ -141,6 +144,10 @@
   place.priority = it->workspace != nullptr && it->workspace->priority >= 0
                        ? it->workspace->priority
                        : route.priority;
+  // Callers that come back after a refusal have less time than at first.
+  int64_t& longest = longest_deadline_ms_[route.name];
+  longest = std::max(longest, deadline_ms);
+  place.is_returning = deadline_ms < longest - kReturningGapMs;
   parts_.budget->OnRequest(place.service, now);
   const CallerId caller = it->caller;
   it->deadline_timer = parts_.loop->After(
@@ -166,8 +173,6 @@
         .Text("service", it->place.service)
         .Real("home_load", choice.home_load)
         .Real("away_load", choice.away_load)
-        .Number("best_ms",
-                choice.best_total ? ToMillis(*choice.best_total) : -1)
         .Millis("left_ms", it->place.time_left)
         .Number("priority", it->place.priority);
     *reason = choice.reason == NoPlace::kNoRoom ? "overloaded" : "no-upstream";
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -145,6 +145,8 @@
   ForwarderParts parts_;
   std::shared_ptr<const Catalog> catalog_;
   BackendPicker picker_;
+  // Longest deadline of each route's callers.
+  std::map<std::string, int64_t> longest_deadline_ms_;
   bool is_stopping_ = false;
   uint64_t next_attempt_ = 1;
   std::unordered_map<CallerId, ExchangePtr> exchanges_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -99,6 +99,7 @@
   log_->State("start")
       .Text("zone", settings_.self.zone)
       .Number("incarnation", static_cast<int64_t>(settings_.self.incarnation));
+  started_at_ = EventLoop::Now();
   watch_.Start();
   registration_.Start();
   timer_ = loop_->Every(kTick, [this] { Tick(); });
@@ -160,8 +161,8 @@
   const auto* gone = std::get_if<RemovedInstance>(&removal);
   if (gone == nullptr) return;
   const TimePoint now = EventLoop::Now();
-  const bool is_trouble = watch_.last_failure() != TimePoint{} &&
-                          now - watch_.last_failure() < kStoreTrouble;
+  const bool is_trouble =
+      watch_.had_outage() && now - watch_.outage_end() < kStoreTrouble;
   if (is_trouble) {
     lapsed_.try_emplace(gone->id, now);
     log_->State("instance_lapsed").Text("instance", gone->id);
@@ -289,15 +290,25 @@
   }
   if (watch_.is_connected()) {
     std::vector<std::string> gone;
+    // Where another VM had the store all the while, it was this VM that was cut
+    // off, and the entries were removed for good.
+    const bool was_own_trouble =
+        fleet_.LongestStoreContact() > now - watch_.outage_begin();
     for (const auto& [id, since] : lapsed_) {
-      const TimePoint from = std::max(since, watch_.last_failure());
-      if (now - from > kReturn) gone.push_back(id);
+      const TimePoint from = std::max(since, watch_.outage_end());
+      if (was_own_trouble || now - from > kReturn) gone.push_back(id);
     }
     for (const std::string& id : gone) RemoveInstance(id, "did-not-return");
   }
   const auto& catalog = forwarder_->catalog();
   fleet_.SetOwnState(IsReady(), is_leaving_, is_fresh,
-                     catalog == nullptr ? 0 : catalog->version());
+                     catalog == nullptr ? 0 : catalog->version(),
+                     StoreContact(now));
+}
+
+Duration Gateway::StoreContact(TimePoint now) const {
+  if (!watch_.is_loaded() || watch_.is_failing()) return {};
+  return now - (watch_.had_outage() ? watch_.outage_end() : started_at_);
 }
 
 void Gateway::BeginStop() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,7 +46,7 @@
   // alive: their leases could not be renewed.
   static constexpr Duration kStoreTrouble = std::chrono::seconds(4);
   // They are back this soon after the store is, or gone.
-  static constexpr Duration kReturn = std::chrono::milliseconds(2300);
+  static constexpr Duration kReturn = std::chrono::milliseconds(2000);
   static constexpr Duration kTick = std::chrono::milliseconds(250);
   // Part of the time until SIGKILL in which new requests are taken; what is
   // left has to suffice for the longest of them.
@@ -87,6 +87,8 @@
   void SetRetryBounds();
   Duration ColdStart() const;
   void Tick();
+  // For how long the store has answered this VM.
+  Duration StoreContact(TimePoint now) const;
   void StopStep();
   bool KeysFresh() const;
 
@@ -114,6 +116,7 @@
   std::vector<std::string> services_;
   bool is_leaving_ = false;
   bool was_fresh_ = false;
+  TimePoint started_at_{};
   TimePoint leaving_since_{};
   bool is_closing_ = false;
   std::unique_ptr<Timer> timer_;
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -18,7 +18,8 @@
 void StoreWatch::Load(const std::string& after) {
   asked_at_ = boot_now_();
   if (after.empty()) load_asked_at_ = asked_at_;
-  store_->Range("", after,
+  const bool is_probe = failures_ % kProbesPerLoad != 0;
+  store_->Range("", after, is_probe ? kProbeTimeout : kLoadTimeout,
                 [this](Result<ItemPage> page) { OnPage(std::move(page)); });
 }
 
@@ -116,6 +117,11 @@
 void StoreWatch::NoteAnswer() {
   last_answer_ = EventLoop::Now();
   backoff_ = kFirstBackoff;
+  if (failures_ > 0 && last_answer_ - failing_since_ > kOutage) {
+    outage_begin_ = failing_since_;
+    outage_end_ = last_answer_;
+  }
+  failures_ = 0;
   if (is_connected_) return;
   is_connected_ = true;
   has_told_ = true;
@@ -124,6 +130,10 @@
 
 void StoreWatch::Fail(const Error& error) {
   last_failure_ = EventLoop::Now();
+  if (++failures_ == 1) failing_since_ = last_failure_;
+  // What was missed meanwhile is read as a whole, and a range is answered at
+  // once where a watch would wait.
+  needs_load_ = true;
   if (is_connected_ || !has_told_) {
     is_connected_ = false;
     has_told_ = true;
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -22,8 +22,15 @@
   static constexpr Duration kWait = std::chrono::milliseconds(2000);
   // Changes often come in groups; waiting this long after one spares calls.
   static constexpr Duration kGather = std::chrono::milliseconds(150);
+  // Time for one page. Without contact most calls end early, so that a store
+  // that is back is noticed soon; each third one allows for a slow store.
+  static constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
+  static constexpr int kProbesPerLoad = 3;
+  // Failures for this long without an answer between them are an outage.
+  static constexpr Duration kOutage = std::chrono::milliseconds(600);
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(50);
-  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(400);
+  static constexpr Duration kLongestBackoff = std::chrono::milliseconds(200);
 
   // `boot_now` reads a clock that goes on while the VM is suspended.
   StoreWatch(EventLoop* loop, RevisionStore* store,
@@ -38,6 +45,12 @@
   // Monotonic time of the last answer and of the last failed call.
   TimePoint last_answer() const { return last_answer_; }
   TimePoint last_failure() const { return last_failure_; }
+  // End and begin of the last outage. A call that fails alone is none: the
+  // store may cut a waiting watch at any time.
+  TimePoint outage_end() const { return outage_end_; }
+  TimePoint outage_begin() const { return outage_begin_; }
+  bool had_outage() const { return outage_end_ != TimePoint{}; }
+  bool is_failing() const { return failures_ > 0; }
   uint64_t revision() const { return revision_; }
 
   // A key was written, or is seen for the first time.
@@ -76,7 +89,11 @@
   TimePoint load_asked_at_{};
   TimePoint last_answer_{};
   TimePoint last_failure_{};
+  TimePoint failing_since_{};
+  TimePoint outage_end_{};
+  TimePoint outage_begin_{};
   Duration backoff_ = kFirstBackoff;
+  int failures_ = 0;  // since the last answer
   std::unique_ptr<Timer> retry_timer_;
 };
 
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -92,6 +92,15 @@
   return links_.contains(vm);
 }
 
+void PeerLinks::Close(const std::string& vm) {
+  const auto it = links_.find(vm);
+  if (it == links_.end()) return;
+  PeerLink* link = it->second;
+  loop_->Post([this, link] {
+    HandleClosed(link, {NetErrc::kBroken, "peer is silent"});
+  });
+}
+
 uint64_t PeerLinks::IncarnationOf(const std::string& vm) const {
   const auto it = links_.find(vm);
   return it == links_.end() ? 0 : it->second->incarnation();
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -32,7 +32,7 @@
 class PeerLinks {
  public:
   static constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
-  static constexpr Duration kLongestBackoff = std::chrono::seconds(5);
+  static constexpr Duration kLongestBackoff = std::chrono::seconds(1);
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
   // With more than this waiting for a peer, heartbeats to it are left out: the
   // next one says the same and more.
@@ -64,6 +64,9 @@
   // False if there is no link to the peer.
   bool Send(const std::string& vm, wire::BodyUnion body);
   bool HasLink(const std::string& vm) const;
+  // Closes the link to a peer that has gone silent; it is dialled anew if it is
+  // wanted. signal_down follows from the loop.
+  void Close(const std::string& vm);
   // Zero without a link.
   uint64_t IncarnationOf(const std::string& vm) const;
   std::vector<std::string> linked() const;
--- a/src/replica/revision_store.h
+++ b/src/replica/revision_store.h
@@ -60,9 +60,9 @@
   virtual ~RevisionStore() = default;
 
   // Items whose key starts with `prefix` and sorts after `after`. Current as of
-  // the call.
+  // the call. Given up after `timeout`.
   virtual void Range(const std::string& prefix, const std::string& after,
-                     Callback<ItemPage> done) = 0;
+                     Duration timeout, Callback<ItemPage> done) = 0;
   // Answers with the changes after `revision` as soon as there is one, or
   // without any after `wait`. kHistoryGone: read everything again.
   virtual void Watch(const std::string& prefix, uint64_t revision,
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -17,6 +17,8 @@
 
 // An instance that has just started takes this much longer than a cold run.
 constexpr double kColdInstanceFactor = 2;
+// Load of a region that has no slots.
+constexpr double kNoSlotsLoad = 10;
 // Cost of an instance behind the preferred ones, as a part of a cold run's
 // cost: objects should not wander over all instances.
 constexpr double kLateRankCost = 0.2;
@@ -27,13 +29,6 @@
   return Hash64(instance, object);
 }
 
-double LoadLimit(int priority) {
-  const size_t n =
-      std::clamp<size_t>(static_cast<size_t>(std::max(0, priority)), 0,
-                         std::size(Placement::kLoadLimits) - 1);
-  return Placement::kLoadLimits[n];
-}
-
 }  // namespace
 
 Placement::Placement(PlacementSettings settings, InstanceBoard* board)
@@ -97,35 +92,69 @@
   return out;
 }
 
+bool Placement::IsWorthwhile(const PlacementRequest& request,
+                             const PlacementChoice& choice, size_t home_ranks,
+                             double region_load, TimePoint now) const {
+  const InstanceState& it = *choice.instance;
+  const auto slots = static_cast<double>(std::max<int64_t>(1, it.info().slots));
+  const double load = it.LoadAt(now);
+  if (it.IsFull(now) && load >= slots) return false;
+  if (load + 1 > slots * kMostLoad) return false;
+  if (region_load < kRelaxedLoad) return true;
+  const bool may_be_warm =
+      choice.is_warm || request.object == 0 || choice.rank == 0;
+  if (!may_be_warm) {
+    // A cold run takes the time of several warm ones. It pays only where the
+    // object will be looked for again, and in a slot that is free.
+    return choice.rank < home_ranks && load + 1 <= slots * kFreeLoad;
+  }
+  // In a full region a place in a queue is given only to those that can still
+  // be in time: a late answer would make all behind it late as well.
+  const size_t n =
+      std::clamp<size_t>(static_cast<size_t>(std::max(0, request.priority)), 0,
+                         std::size(kQueueLimits) - 1);
+  double limit = kQueueLimits[n];
+  if (request.is_returning) limit = std::max(limit, kReturningLimit);
+  // The first run at the instance is expected to be longer than that.
+  const Duration allowed =
+      std::max(FromSeconds(ToSeconds(request.objective) * limit),
+               it.is_proven() ? Duration::zero() : choice.expected_total);
+  return choice.expected_total <= allowed;
+}
+
 std::optional<PlacementChoice> Placement::Best(const PlacementRequest& request,
                                                bool home, double cold_rate,
                                                size_t home_users,
+                                               double region_load,
                                                TimePoint now) const {
   const std::vector<Candidate> ranked = Ranked(request, home, now);
   const WorkModel::Times times =
       work_.Expected(request.route, request.objective);
+  const Duration limit = request.time_left - kMargin;
   const double additional = ToSeconds(times.cold - times.warm) * kColdCost;
+  const size_t home_ranks = RanksFor(request.service, ranked.size());
   std::optional<PlacementChoice> best;
   double best_cost = std::numeric_limits<double>::max();
-  // Without an object all instances are alike; ejected ones are taken only
-  // when there are no others.
+  // Ejected instances are taken only when there are no others.
   for (const bool takes_ejected : {false, true}) {
-    for (size_t rank = 0; rank < ranked.size(); ++rank) {
-      InstanceState* it = ranked[rank].it;
+    size_t rank = 0;
+    for (const Candidate& candidate : ranked) {
+      InstanceState* it = candidate.it;
       if (it->IsEjected(now) != takes_ejected) continue;
       if (it->IsCold(now) &&
           !pacer_.CanTake(it->info().id, cold_rate, home_users, now))
         continue;
-      PlacementChoice choice = Rate(request, ranked[rank], rank, home, now);
-      const auto slots =
-          static_cast<double>(std::max<int64_t>(1, it->info().slots));
-      if (it->LoadAt(now) + 1 > slots * LoadLimit(request.priority)) continue;
-      if (it->IsFull(now) && it->LoadAt(now) >= slots) continue;
+      const PlacementChoice choice =
+          Rate(request, candidate, rank++, home, now);
+      if (times.is_learned && choice.expected_total > limit) continue;
+      if (!IsWorthwhile(request, choice, home_ranks, region_load, now))
+        continue;
       double cost = ToSeconds(choice.expected_total);
-      if (!choice.is_warm && rank > 0) cost += additional;
-      if (rank >= kPreferred) cost += additional * kLateRankCost;
+      if (!choice.is_warm && choice.rank > 0) cost += additional;
+      if (choice.rank >= home_ranks) cost += additional * kLateRankCost;
       // Among equals the one with more free slots.
-      cost += kLoadCost * it->LoadAt(now) / slots;
+      cost += kLoadCost * it->LoadAt(now) /
+              static_cast<double>(std::max<int64_t>(1, it->info().slots));
       if (cost >= best_cost) continue;
       best_cost = cost;
       best = choice;
@@ -135,40 +164,51 @@
   return best;
 }
 
+size_t Placement::RanksFor(const std::string& service, size_t instances) const {
+  const auto it = objects_.find(service);
+  if (it == objects_.end() || it->second.empty()) return kMostRanks;
+  const double ranks = kObjectsPerInstance * static_cast<double>(instances) /
+                       static_cast<double>(it->second.size());
+  return std::clamp(static_cast<size_t>(ranks), size_t{1}, kMostRanks);
+}
+
 PlacementChoice Placement::Choose(const PlacementRequest& request,
                                   double cold_rate, size_t home_users,
                                   TimePoint now) {
+  const Loads loads = LoadsOf(request.service, now);
   if (!split_.HasBegun(request.service)) {
-    const Loads loads = LoadsOf(request.service, now);
     split_.Begin(request.service, loads.home_slots,
                  loads.home_slots + loads.away_slots, loads.regions, now);
   }
+  if (request.object != 0) objects_[request.service][request.object] = now;
+  const double home_load = loads.HomeLoad();
+  const double away_load = loads.AwayLoad();
   const bool prefers_away = split_.IsAway(request.service, request.object);
   std::optional<PlacementChoice> first =
-      Best(request, !prefers_away, cold_rate, home_users, now);
-  const Duration limit = request.time_left - kMargin;
+      Best(request, !prefers_away, cold_rate, home_users,
+           prefers_away ? away_load : home_load, now);
   // In time where the object belongs: no reason to look elsewhere.
-  if (first && first->expected_total <= std::min(limit, request.objective))
-    return *first;
+  if (first && first->expected_total <= request.objective) return *first;
   std::optional<PlacementChoice> second;
-  if (!first || prefers_away || MaySpill(now))
-    second = Best(request, prefers_away, cold_rate, home_users, now);
+  if (prefers_away || MaySpill(now) || loads.home_slots <= 0) {
+    second = Best(request, prefers_away, cold_rate, home_users,
+                  prefers_away ? home_load : away_load, now);
+  }
   if (second &&
       (!first || second->expected_total * 3 / 2 < first->expected_total))
     first = second;
-  const bool is_learned =
-      work_.Expected(request.route, request.objective).is_learned;
-  if (first && (first->expected_total <= limit || !is_learned)) return *first;
+  if (first) return *first;
   PlacementChoice out;
-  const Loads loads = LoadsOf(request.service, now);
-  if (loads.home_slots > 0) out.home_load = loads.home_load / loads.home_slots;
-  if (loads.away_slots > 0) out.away_load = loads.away_load / loads.away_slots;
-  if (first) out.best_total = first->expected_total;
+  out.home_load = home_load;
+  out.away_load = away_load;
   out.reason = loads.home_slots + loads.away_slots > 0 ? NoPlace::kNoRoom
                                                        : NoPlace::kNoInstance;
+  // Room comes as fast as runs end; the fuller the region, the later.
   const WorkModel::Times times =
       work_.Expected(request.route, request.objective);
-  out.retry_after = std::clamp(times.warm, kShortestReturn, kLongestReturn);
+  const double fullness = std::clamp(home_load, 0.5, 3.0);
+  out.retry_after = std::clamp(FromSeconds(ToSeconds(times.warm) * fullness),
+                               kShortestReturn, kLongestReturn);
   return out;
 }
 
@@ -213,15 +253,23 @@
   return out;
 }
 
+double Placement::Loads::HomeLoad() const {
+  return home_slots > 0 ? home_load / home_slots : kNoSlotsLoad;
+}
+
+double Placement::Loads::AwayLoad() const {
+  return away_slots > 0 ? away_load / away_slots : kNoSlotsLoad;
+}
+
 void Placement::Tick(const std::vector<std::string>& services, TimePoint now) {
   for (const std::string& service : services) {
     if (!split_.HasBegun(service)) continue;
     const Loads loads = LoadsOf(service, now);
-    const double home =
-        loads.home_slots > 0 ? loads.home_load / loads.home_slots : 10;
-    const double away =
-        loads.away_slots > 0 ? loads.away_load / loads.away_slots : 10;
-    split_.OnLoad(service, home, away, now);
+    split_.OnLoad(service, loads.HomeLoad(), loads.AwayLoad(), now);
+  }
+  for (auto& [service, seen] : objects_) {
+    std::erase_if(
+        seen, [&](const auto& it) { return now - it.second > kObjectMemory; });
   }
 }
 
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -24,6 +26,7 @@
   Duration time_left{};  // until the caller or the route gives up
   int priority = 0;      // 0 is the most urgent
   bool idempotent = false;
+  bool is_returning = false;       // it was refused before
   std::vector<std::string> tried;  // instances that had it already
 };
 
@@ -44,10 +47,9 @@
   size_t rank = 0;         // in the order of the request's object
   Duration retry_after{};  // of a refusal
   // What decided a refusal: load for each slot of this region and of the
-  // others, and the time in which the best place would have answered.
+  // others.
   double home_load = 0;
   double away_load = 0;
-  std::optional<Duration> best_total;
 };
 
 struct PlacementSettings {
@@ -62,11 +64,22 @@
 // it would wait there longer than a cold run elsewhere takes.
 class Placement {
  public:
-  // Instances of an object's order that are considered before all others.
-  static constexpr size_t kPreferred = 3;
-  // Load for each slot up to which requests of priority 0, 1, 2 and above are
-  // sent to an instance: the more urgent, the longer its queue may be.
-  static constexpr double kLoadLimits[] = {2.5, 2.0, 1.6};
+  // Load for each slot above which an instance gets nothing: its queue would
+  // reject most of it.
+  static constexpr double kMostLoad = 3.0;
+  // A region with less load for each slot takes whatever can be answered.
+  static constexpr double kRelaxedLoad = 0.6;
+  // Load up to which a slot counts as free in a full region.
+  static constexpr double kFreeLoad = 1.0;
+  // In a full region a request is queued if its answer is expected within this
+  // part of its objective, by priority, and if it was refused before.
+  static constexpr double kQueueLimits[] = {1.2, 1.0, 0.85};
+  static constexpr double kReturningLimit = 1.4;
+  // Objects that an instance is given to keep warm, and the most instances for
+  // one object.
+  static constexpr double kObjectsPerInstance = 20;
+  static constexpr size_t kMostRanks = 3;
+  static constexpr Duration kObjectMemory = std::chrono::seconds(10);
   // Cost of a cold run beyond its own time, as a part of the additional slot
   // time that it takes from others.
   static constexpr double kColdCost = 0.5;
@@ -95,8 +108,14 @@
     uint64_t score = 0;
   };
   struct Loads {
-    double home_load = 0, home_slots = 0, away_load = 0, away_slots = 0;
+    double home_load = 0;
+    double home_slots = 0;
+    double away_load = 0;
+    double away_slots = 0;
     size_t regions = 0;
+    // For each slot.
+    double HomeLoad() const;
+    double AwayLoad() const;
   };
   bool IsUsable(const InstanceState& it, const PlacementRequest& request,
                 TimePoint now) const;
@@ -104,7 +123,14 @@
                                 TimePoint now) const;
   std::optional<PlacementChoice> Best(const PlacementRequest& request,
                                       bool home, double cold_rate,
-                                      size_t home_users, TimePoint now) const;
+                                      size_t home_users, double region_load,
+                                      TimePoint now) const;
+  // Whether the region is better off with this run than without it.
+  bool IsWorthwhile(const PlacementRequest& request,
+                    const PlacementChoice& choice, size_t home_ranks,
+                    double region_load, TimePoint now) const;
+  // Instances of an object's order that may all hold it warm.
+  size_t RanksFor(const std::string& service, size_t instances) const;
   PlacementChoice Rate(const PlacementRequest& request, const Candidate& it,
                        size_t rank, bool home, TimePoint now) const;
   Loads LoadsOf(const std::string& service, TimePoint now) const;
@@ -115,6 +141,8 @@
   WorkModel work_;
   ColdPacer pacer_;
   RegionSplit split_;
+  // When each object of a service was asked for last.
+  std::map<std::string, std::unordered_map<uint64_t, TimePoint>> objects_;
   // Present and last window of requests and of those that spilled.
   TimePoint window_start_{};
   double requests_[2] = {0, 0};
