--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -172,6 +172,7 @@
 }
 
 void Gateway::OnLoaded() {
+  SetRetryBounds();
   if (!fleet_.is_started()) CreateSecret();
 }
 
@@ -273,9 +274,13 @@
 }
 
 void Gateway::SetRetryBounds() {
-  const auto vms = static_cast<double>(1 + fleet_.size());
-  budget_.SetBounds({settings_.retry_ratio, settings_.retry_extra / vms,
-                     settings_.retry_window});
+  // How many VMs share the allowance is known once the list has been read.
+  const double allowance =
+      watch_.is_loaded()
+          ? settings_.retry_extra / static_cast<double>(1 + fleet_.size())
+          : 0;
+  budget_.SetBounds(
+      {settings_.retry_ratio, allowance, settings_.retry_window});
 }
 
 void Gateway::Tick() {
--- a/src/traffic/instance_board.cc
+++ b/src/traffic/instance_board.cc
@@ -51,8 +51,10 @@
       if (LoadAt(now) < static_cast<double>(info_.slots))
         CountFailure(now, /*ejects_at_once=*/false);
       return;
-    case AttemptEnd::kConnectFailed:
     case AttemptEnd::kMisdirected:
+      is_replaced_ = true;
+      return;
+    case AttemptEnd::kConnectFailed:
       CountFailure(now, /*ejects_at_once=*/true);
       return;
     case AttemptEnd::kBroken:
--- a/src/traffic/instance_board.h
+++ b/src/traffic/instance_board.h
@@ -84,6 +84,9 @@
   // How many times longer than expected its requests take, at least 1.
   double SlownessAt(TimePoint now) const;
   bool IsEjected(TimePoint now) const { return now < ejected_until_; }
+  // Another instance answered at its address: it has ended, whatever its entry
+  // says.
+  bool is_replaced() const { return is_replaced_; }
   bool IsFull(TimePoint now) const { return now < shed_until_; }
   bool IsWarmFor(uint64_t object, TimePoint now) const;
   double failure_share() const { return failure_share_; }
@@ -113,6 +116,7 @@
   int failures_in_row_ = 0;
   Duration ejection_ = kFirstEjection;
   bool is_proven_ = false;
+  bool is_replaced_ = false;
 };
 
 // All instances of all services, and the zones that are evacuated.
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -39,7 +39,8 @@
 bool Placement::IsUsable(const InstanceState& it,
                          const PlacementRequest& request, TimePoint) const {
   const InstanceInfo& info = it.info();
-  if (info.is_draining || board_->IsEvacuated(info.zone)) return false;
+  if (info.is_draining || it.is_replaced() || board_->IsEvacuated(info.zone))
+    return false;
   if (!request.regions.Allows(info.region)) return false;
   return std::find(request.tried.begin(), request.tried.end(), info.id) ==
          request.tried.end();
