Agree on the share of objects placed outside a region

Ruled out: eviction by too many objects for an instance (25 of 1230). Change: VMs report their shares and follow the region's mean; light services leave earlier, those with large answers later; log lines name object, rank and belief.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -165,6 +165,12 @@
     use->level = static_cast<float>(it.level);
     report.uses.push_back(std::move(use));
   }
+  for (const auto& [service, away] : shares_) {
+    auto share = std::make_unique<wire::RegionShareT>();
+    share->service = service;
+    share->away = static_cast<float>(away);
+    report.shares.push_back(std::move(share));
+  }
   for (const std::string& vm : links_->linked()) {
     wire::BodyUnion body;
     body.Set(wire::FleetReportT(report));
@@ -184,6 +190,9 @@
   member.leaving = report->leaving;
   member.keys_fresh = report->keys_fresh;
   member.store_contact = std::chrono::milliseconds(report->store_contact_ms);
+  member.shares.clear();
+  for (const auto& share : report->shares)
+    member.shares[share->service] = share->away;
   std::vector<WorkspaceUsage> usage;
   usage.reserve(report->uses.size());
   for (const auto& use : report->uses)
@@ -225,6 +234,17 @@
   return out;
 }
 
+std::map<std::string, std::vector<double>> Fleet::SharesInRegion() const {
+  const TimePoint now = EventLoop::Now();
+  std::map<std::string, std::vector<double>> out;
+  for (const auto& [vm, it] : vms_) {
+    const bool is_near = it.info.region == self_.region;
+    if (!is_near || !it.is_heard || now - it.heard_at >= kSilence) continue;
+    for (const auto& [service, away] : it.shares) out[service].push_back(away);
+  }
+  return out;
+}
+
 Duration Fleet::LongestStoreContact() const {
   const TimePoint now = EventLoop::Now();
   Duration out{};
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -65,6 +65,13 @@
   // without a failure; zero if none has it.
   Duration LongestStoreContact() const;
 
+  // Shares of objects that this VM places outside its region, by service.
+  void SetOwnShares(std::map<std::string, double> shares) {
+    shares_ = std::move(shares);
+  }
+  // The same of the other VMs of this region that were heard lately.
+  std::map<std::string, std::vector<double>> SharesInRegion() const;
+
   // Front addresses that a caller of a zone should use, best first.
   std::vector<std::string> AddressesFor(const std::string& zone,
                                         const std::string& region) const;
@@ -87,6 +94,7 @@
     bool leaving = false;
     bool keys_fresh = false;
     Duration store_contact{};
+    std::map<std::string, double> shares;
   };
   void Relink();
   void Tick();
@@ -104,6 +112,7 @@
   bool keys_fresh_ = false;
   uint64_t catalog_version_ = 0;
   Duration store_contact_{};
+  std::map<std::string, double> shares_;
   TimePoint reported_at_{};
   std::unique_ptr<Timer> timer_;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -187,6 +187,7 @@
   attempt.expected = choice.expected;
   attempt.is_warm = choice.is_warm;
   attempt.rank = choice.rank;
+  attempt.is_away = choice.is_away;
   choice.instance->OnSent(attempt.id, it->place.object, choice.patience, now);
   attempt.waiting = choice.expected_total - choice.expected;
   it->place.tried.push_back(info.id);
@@ -301,6 +302,7 @@
   if (at == it->attempts.end()) return;
   const Attempt attempt = *at;
   it->attempts.erase(at);
+  it->last = attempt;
   const AttemptEnd end = Judge(*it, result);
   InstanceState* state = parts_.board->Find(attempt.instance);
   // A kept connection that the instance closed says nothing of its health.
@@ -314,6 +316,7 @@
   if (result.end == SendEnd::kAnswered)
     NoteReport(attempt.instance, result.answer, now);
   if (end == AttemptEnd::kSucceeded) {
+    parts_.placement->OnAnswer(it->place.service, result.answer.body.size());
     if (it->place.object != 0 && state != nullptr && !state->IsCold(now)) {
       parts_.placement->work()->OnAnswer(it->route->name, it->route->objective,
                                          attempt.is_warm
@@ -465,6 +468,11 @@
       .Text("workspace", it->workspace == nullptr ? "" : it->workspace->name)
       .Text("instance", instance)
       .Number("sends", it->sends)
+      .Number("object", static_cast<int64_t>(it->place.object >> 32))
+      .Number("rank", static_cast<int64_t>(it->last.rank))
+      .Flag("away", it->last.is_away)
+      .Flag("warm", it->last.is_warm)
+      .Millis("expected_ms", it->last.expected + it->last.waiting)
       .Number("config", it->catalog == nullptr
                             ? 0
                             : static_cast<int64_t>(it->catalog->version()))
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -88,6 +88,7 @@
     Duration waiting{};  // expected in the queue and on the network
     bool is_warm = false;
     size_t rank = 0;
+    bool is_away = false;
   };
   struct Exchange {
     CallerId caller = 0;
@@ -104,6 +105,7 @@
     bool may_have_run = false;
     bool has_left = false;
     std::vector<Attempt> attempts;
+    Attempt last;  // the attempt that ended last
     std::unique_ptr<Timer> deadline_timer;
     std::unique_ptr<Timer> hedge_timer;
   };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -285,7 +285,13 @@
 
 void Gateway::Tick() {
   const TimePoint now = EventLoop::Now();
-  placement_.Tick(services_, now);
+  placement_.Tick(services_, fleet_.SharesInRegion(), now);
+  std::map<std::string, double> shares;
+  for (const std::string& service : services_) {
+    if (placement_.split().HasBegun(service))
+      shares[service] = placement_.split().ShareAway(service);
+  }
+  fleet_.SetOwnShares(std::move(shares));
   const bool is_fresh = KeysFresh();
   if (is_fresh != was_fresh_) {
     was_fresh_ = is_fresh;
--- a/src/traffic/instance_board.cc
+++ b/src/traffic/instance_board.cc
@@ -40,7 +40,8 @@
       slowness_at_ = now;
       failures_in_row_ = 0;
       failure_share_ -= kFailureWeight * failure_share_;
-      ejection_ = kFirstEjection;
+      // An instance that fails every other request succeeds in between, too.
+      if (failure_share_ < kSoundShare) ejection_ = kFirstEjection;
       is_proven_ = true;
       if (ended.object != 0) Remember(ended.object, now);
       return;
--- a/src/traffic/instance_board.h
+++ b/src/traffic/instance_board.h
@@ -51,6 +51,8 @@
   // succeed, and the weight of one attempt in that share.
   static constexpr double kGreyShare = 0.35;
   static constexpr double kFailureWeight = 0.15;
+  // Share of failures below which earlier ejections are forgotten.
+  static constexpr double kSoundShare = 0.1;
   // A reported load loses half its weight in this time.
   static constexpr Duration kReportHalfLife = std::chrono::milliseconds(700);
   // After a rejection for lack of room the instance counts as full this long.
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -17,6 +17,8 @@
 
 // An instance that has just started takes this much longer than a cold run.
 constexpr double kColdInstanceFactor = 2;
+// Weight of one answer in the mean size of a service's answers.
+constexpr double kBytesGain = 0.02;
 // Load of a region that has no slots.
 constexpr double kNoSlotsLoad = 10;
 // Cost of an instance behind the preferred ones, as a part of a cold run's
@@ -262,11 +264,23 @@
   return away_slots > 0 ? away_load / away_slots : kNoSlotsLoad;
 }
 
-void Placement::Tick(const std::vector<std::string>& services, TimePoint now) {
+void Placement::OnAnswer(const std::string& service, size_t bytes) {
+  double& mean = answer_bytes_[service];
+  mean += kBytesGain * (static_cast<double>(bytes) - mean);
+}
+
+void Placement::Tick(
+    const std::vector<std::string>& services,
+    const std::map<std::string, std::vector<double>>& peer_shares,
+    TimePoint now) {
+  static const std::vector<double> kNone;
   for (const std::string& service : services) {
     if (!split_.HasBegun(service)) continue;
     const Loads loads = LoadsOf(service, now);
-    split_.OnLoad(service, loads.HomeLoad(), loads.AwayLoad(), now);
+    const auto peers = peer_shares.find(service);
+    split_.OnLoad(service, loads.HomeLoad(), loads.AwayLoad(),
+                  answer_bytes_[service],
+                  peers == peer_shares.end() ? kNone : peers->second, now);
   }
   for (auto& [service, seen] : objects_) {
     std::erase_if(
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -77,7 +77,7 @@
   static constexpr double kReturningLimit = 1.4;
   // Objects that an instance is given to keep warm, and the most instances for
   // one object.
-  static constexpr double kObjectsPerInstance = 20;
+  static constexpr double kObjectsPerInstance = 10;
   static constexpr size_t kMostRanks = 3;
   static constexpr Duration kObjectMemory = std::chrono::seconds(10);
   // Cost of a cold run beyond its own time, as a part of the additional slot
@@ -99,7 +99,12 @@
               double cold_rate, size_t home_users, TimePoint now);
   WorkModel* work() { return &work_; }
   // Follows the load of the regions. To be called a few times a second.
-  void Tick(const std::vector<std::string>& services, TimePoint now);
+  // `peer_shares` tells the shares away of the region's other VMs by service.
+  void Tick(const std::vector<std::string>& services,
+            const std::map<std::string, std::vector<double>>& peer_shares,
+            TimePoint now);
+  // An answer of a service came, of that many bytes.
+  void OnAnswer(const std::string& service, size_t bytes);
   const RegionSplit& split() const { return split_; }
 
  private:
@@ -141,6 +146,7 @@
   WorkModel work_;
   ColdPacer pacer_;
   RegionSplit split_;
+  std::map<std::string, double> answer_bytes_;  // mean by service
   // When each object of a service was asked for last.
   std::map<std::string, std::unordered_map<uint64_t, TimePoint>> objects_;
   // Present and last window of requests and of those that spilled.
--- a/src/traffic/region_split.cc
+++ b/src/traffic/region_split.cc
@@ -1,6 +1,7 @@
 #include "traffic/region_split.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace rwf {
 namespace {
@@ -25,17 +26,27 @@
 }
 
 void RegionSplit::OnLoad(const std::string& service, double load,
-                         double away_load, TimePoint now) {
+                         double away_load, double answer_bytes,
+                         const std::vector<double>& peers, TimePoint now) {
   Share& share = shares_[service];
   const Duration step = std::min(now - share.at, kLongestStep);
   share.at = now;
   const double most = max_shift_ * kShiftPart * ToSeconds(step);
+  const Thresholds& thresholds = answer_bytes > kHeavyBytes ? kHeavy : kLight;
+  double change = 0;
   // Work goes away only towards regions that are less busy.
-  if (load > kBusyLoad && away_load < load) {
-    share.away = std::min(kMostAway, share.away + most);
-  } else if (load < kIdleLoad) {
-    share.away = std::max(0.0, share.away - most);
+  if (load > thresholds.busy && away_load < load) {
+    change = most;
+  } else if (load < thresholds.idle) {
+    change = -most;
   }
+  if (!peers.empty()) {
+    const double mean = std::accumulate(peers.begin(), peers.end(), 0.0) /
+                        static_cast<double>(peers.size());
+    change += kBlend * (mean - share.away);
+  }
+  share.away =
+      std::clamp(share.away + std::clamp(change, -most, most), 0.0, kMostAway);
 }
 
 double RegionSplit::ShareAway(const std::string& service) const {
--- a/src/traffic/region_split.h
+++ b/src/traffic/region_split.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 
@@ -15,8 +16,18 @@
  public:
   // The region is short above the first load for each slot and has room below
   // the second one. The gap keeps the share from swinging.
-  static constexpr double kBusyLoad = 0.85;
-  static constexpr double kIdleLoad = 0.55;
+  struct Thresholds {
+    double busy = 0;
+    double idle = 0;
+  };
+  static constexpr Thresholds kLight = {0.65, 0.4};
+  // Services with large answers stay longer, since the links between regions
+  // are narrow.
+  static constexpr Thresholds kHeavy = {1.0, 0.75};
+  static constexpr double kHeavyBytes = 20'000;
+  // Part of the distance to the mean of the region's VMs that is made up in one
+  // step: VMs that place an object differently keep it warm at two places.
+  static constexpr double kBlend = 0.5;
   // Largest change of the share in a second, as a part of the permitted shift
   // over two seconds; the rest is left for requests that spill one by one.
   static constexpr double kShiftPart = 0.4;
@@ -35,8 +46,10 @@
     return shares_.contains(service);
   }
   // `load` is requests running or waiting for each slot of the home region,
-  // `away_load` the same of the others.
+  // `away_load` the same of the others, `answer_bytes` the mean size of an
+  // answer, `peers` the shares of the other VMs of the region.
   void OnLoad(const std::string& service, double load, double away_load,
+              double answer_bytes, const std::vector<double>& peers,
               TimePoint now);
   double ShareAway(const std::string& service) const;
   bool IsAway(const std::string& service, uint64_t object) const;
--- a/src/traffic/send_budget.h
+++ b/src/traffic/send_budget.h
@@ -21,7 +21,7 @@
   };
   // Part of the bounds that is used: windows of different VMs do not begin
   // together, and a request may be counted in the window before.
-  static constexpr double  kUsedPart = 0.7;
+  static constexpr double kUsedPart = 0.7;
 
   void SetBounds(const Bounds& bounds) { bounds_ = bounds; }
   void OnRequest(const std::string& service, TimePoint now);
