Test the data path's decisions on virtual time; report only what is new

Ruled out: placement (its share is below the noise), log lines. Change: reports carry what changed and are packed once; region loads are kept for 20 ms; fewer store calls; tests for http and traffic, with the overload of an ice storm and of one workspace named by pattern.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -58,6 +58,7 @@
     if (it == vms_.end()) return;
     it->second.has_link = true;
     it->second.heard_at = EventLoop::Now();
+    partial_reports_ = kReportsPerFull;
     it->second.is_refused = false;
     log_->State("peer_up").Text("peer", vm);
   });
@@ -157,7 +158,9 @@
   report.keys_fresh = keys_fresh_;
   report.catalog_version = catalog_version_;
   report.store_contact_ms = static_cast<uint64_t>(ToMillis(store_contact_));
-  for (const WorkspaceUsage& it : limiter_->Report(now)) {
+  const bool is_full = ++partial_reports_ >= kReportsPerFull;
+  if (is_full) partial_reports_ = 0;
+  for (const WorkspaceUsage& it : limiter_->Report(is_full, now)) {
     auto use = std::make_unique<wire::WorkspaceUseT>();
     use->workspace = it.workspace;
     use->admitted = it.admitted;
@@ -171,11 +174,9 @@
     share->away = static_cast<float>(away);
     report.shares.push_back(std::move(share));
   }
-  for (const std::string& vm : links_->linked()) {
-    wire::BodyUnion body;
-    body.Set(wire::FleetReportT(report));
-    links_->Send(vm, std::move(body));
-  }
+  wire::MessageT message;
+  message.body.Set(std::move(report));
+  links_->SendToAll(message);
 }
 
 void Fleet::OnMessage(const std::string& vm, const wire::MessageT& message) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -40,6 +40,8 @@
   // less often, so that a VM sends at most about kReportsPerSecond messages.
   static constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
   static constexpr double kReportsPerSecond = 120;
+  // Every so many reports, and when a link came up, one tells everything.
+  static constexpr int kReportsPerFull = 20;
   // A VM whose link is up is left out of look-ups after this silence.
   static constexpr Duration kSilence = std::chrono::milliseconds(1500);
   // A link without a report for this long is closed: after a partition its
@@ -114,6 +116,8 @@
   Duration store_contact_{};
   std::map<std::string, double> shares_;
   TimePoint reported_at_{};
+  // Reports since the last one that told everything.
+  int partial_reports_ = 0;
   std::unique_ptr<Timer> timer_;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kVmPrefix = "rwf/vm/";
 constexpr const char* kSecretKey = "rwf/secret";
 constexpr size_t kSecretBytes = 32;
+constexpr uint64_t kSecretSpreadMs = 600;
 constexpr Duration kStopStep = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -177,6 +178,14 @@
 }
 
 void Gateway::CreateSecret() {
+  // VMs that start together do not all write it.
+  secret_timer_ = loop_->After(
+      std::chrono::milliseconds(RandomU64() % kSecretSpreadMs), [this] {
+        if (!fleet_.is_started() && !is_leaving_) WriteSecret();
+      });
+}
+
+void Gateway::WriteSecret() {
   const std::string secret = ToHex(RandomBytes(kSecretBytes));
   store_->Write({kSecretKey, secret, 0, true, 0}, [](const Result<uint64_t>&) {
     // The watch brings the secret that won.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,6 +80,7 @@
   void OnLoaded();
   void OnFleetSecret(const std::string& secret);
   void CreateSecret();
+  void WriteSecret();
   void Apply(std::shared_ptr<const Catalog> catalog);
   void Apply(const InstanceEntry& entry);
   void RemoveInstance(const std::string& id, const char* reason);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -19,9 +19,9 @@
  public:
   // Bounds both the time in which a silent connection is noticed and the age of
   // the last confirmation. Every call is paid for.
-  static constexpr Duration kWait = std::chrono::milliseconds(2000);
+  static constexpr Duration kWait = std::chrono::milliseconds(2700);
   // Changes often come in groups; waiting this long after one spares calls.
-  static constexpr Duration kGather = std::chrono::milliseconds(150);
+  static constexpr Duration kGather = std::chrono::milliseconds(400);
   // Time for one page. Without contact most calls end early, so that a store
   // that is back is noticed soon; each third one allows for a slow store.
   static constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -32,12 +32,16 @@
 }
 
 void PeerLink::Send(const wire::MessageT& message) {
+  if (!is_closing_) SendPacked(PackMessage(message));
+}
+
+void PeerLink::SendPacked(std::string_view packed) {
   if (is_closing_) return;
   if (queued_bytes() > kMaxQueuedBytes) {
     CloseLater({NetErrc::kTooLarge, "peer does not read"});
     return;
   }
-  const std::string frame = writer_.Write(message);
+  const std::string frame = writer_.WritePacked(packed);
   bytes_sent_ += frame.size();
   bufferevent_write(bev_, frame.data(), frame.size());
 }
--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -36,6 +36,7 @@
 
   // Queues a message; closes the link if too much is waiting already.
   void Send(const wire::MessageT& message);
+  void SendPacked(std::string_view packed);
   size_t queued_bytes() const;
 
   bool is_ready() const { return handshake_.is_done(); }
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -88,6 +88,18 @@
   return true;
 }
 
+void PeerLinks::SendToAll(const wire::MessageT& message) {
+  const std::string packed = PackMessage(message);
+  for (const auto& [vm, link] : links_) {
+    if (link->queued_bytes() > kCongestedBytes) {
+      ++counters_.heartbeats_left_out;
+      continue;
+    }
+    link->SendPacked(packed);
+    ++counters_.messages_sent;
+  }
+}
+
 bool PeerLinks::HasLink(const std::string& vm) const {
   return links_.contains(vm);
 }
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -63,6 +63,9 @@
 
   // False if there is no link to the peer.
   bool Send(const std::string& vm, wire::BodyUnion body);
+  // Sends one message to every linked peer; peers that do not read are left out
+  // as heartbeats are.
+  void SendToAll(const wire::MessageT& message);
   bool HasLink(const std::string& vm) const;
   // Closes the link to a peer that has gone silent; it is dialled anew if it is
   // wanted. signal_down follows from the loop.
--- a/src/traffic/fleet_limiter.cc
+++ b/src/traffic/fleet_limiter.cc
@@ -9,6 +9,8 @@
 
 constexpr Duration kShortestReturn = std::chrono::milliseconds(100);
 constexpr Duration kLongestReturn = std::chrono::seconds(2);
+// Change of the demand that is reported although nothing was admitted.
+constexpr double kDemandNews = 0.5;
 
 }  // namespace
 
@@ -73,7 +75,9 @@
     const auto peer = peers_.find(name);
     if (peer == peers_.end() || !IsHeard(peer->second, now)) continue;
     ++heard;
-    all += usage.demand;
+    // Until the next report the demand is taken to fade.
+    all += usage.demand *
+           std::exp(-ToSeconds(now - usage.heard_at) / ToSeconds(kDemandWindow));
   }
   const double even = 1.0 / static_cast<double>(1 + heard);
   if (all <= 0) return even;
@@ -118,11 +122,18 @@
       kShortestReturn, kLongestReturn);
 }
 
-std::vector<WorkspaceUsage> FleetLimiter::Report(TimePoint now) {
+std::vector<WorkspaceUsage> FleetLimiter::Report(bool everything,
+                                                TimePoint now) {
   std::vector<WorkspaceUsage> out;
   for (auto& [name, bucket] : buckets_) {
     Refill(&bucket, now);
-    if (bucket.admitted == 0 && bucket.demand < 0.01) continue;
+    const bool is_news =
+        bucket.admitted != bucket.reported ||
+        std::abs(bucket.demand - bucket.reported_demand) >
+            kDemandNews * std::max(1.0, bucket.reported_demand);
+    if (!everything && !is_news) continue;
+    bucket.reported = bucket.admitted;
+    bucket.reported_demand = bucket.demand;
     out.push_back({name, bucket.admitted, bucket.demand, bucket.level});
   }
   return out;
@@ -133,7 +144,6 @@
                             TimePoint now) {
   const auto found = peers_.find(peer);
   if (found == peers_.end()) return;
-  for (auto& [name, bucket] : buckets_) Refill(&bucket, now);
   Peer& state = found->second;
   const bool is_new = state.incarnation != incarnation;
   // What a VM spent while it was not heard was covered by its even part.
@@ -141,15 +151,14 @@
   state.incarnation = incarnation;
   state.heard_at = now;
   state.is_heard = true;
-  for (auto& [name, bucket] : buckets_) {
-    if (is_new) bucket.peers.erase(peer);
-    if (const auto it = bucket.peers.find(peer); it != bucket.peers.end())
-      it->second.demand = 0;
+  if (is_new) {
+    for (auto& [name, bucket] : buckets_) bucket.peers.erase(peer);
   }
   for (const WorkspaceUsage& it : usage) {
     const auto own = buckets_.find(it.workspace);
     if (own == buckets_.end()) continue;
     Bucket& bucket = own->second;
+    Refill(&bucket, now);
     PeerUsage& known = bucket.peers[peer];
     if (known.is_known && !was_silent) {
       bucket.level -= static_cast<double>(it.admitted) -
@@ -165,6 +174,7 @@
     }
     known.admitted = it.admitted;
     known.demand = it.demand;
+    known.heard_at = now;
     known.is_known = true;
   }
 }
--- a/src/traffic/fleet_limiter.h
+++ b/src/traffic/fleet_limiter.h
@@ -58,7 +58,9 @@
   // Time until a token can be expected.
   Duration RetryAfter(const std::string& workspace, TimePoint now) const;
 
-  std::vector<WorkspaceUsage> Report(TimePoint now);
+  // What is new since the last report, or everything. Receivers take what a
+  // report leaves out as unchanged.
+  std::vector<WorkspaceUsage> Report(bool everything, TimePoint now);
   void OnReport(const std::string& peer, uint64_t incarnation,
                 const std::vector<WorkspaceUsage>& usage, TimePoint now);
 
@@ -66,7 +68,7 @@
   struct PeerUsage {
     uint64_t admitted = 0;
     double demand = 0;
-    double admit_rate = 0;
+    TimePoint heard_at{};
     bool is_known = false;
   };
   struct Bucket {
@@ -76,6 +78,8 @@
     double share_tokens = 0;
     double demand = 0;
     uint64_t admitted = 0;
+    uint64_t reported = 0;  // of `admitted`
+    double reported_demand = 0;
     TimePoint refilled_at{};
     bool has_peer_level = false;
     std::map<std::string, PeerUsage> peers;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -240,7 +240,10 @@
 }
 
 Placement::Loads Placement::LoadsOf(const std::string& service,
-                                    TimePoint now) const {
+                                    TimePoint now) {
+  CachedLoads& cached = loads_[service];
+  const bool is_known = cached.loads.home_slots + cached.loads.away_slots > 0;
+  if (is_known && now - cached.at < kLoadsPeriod) return cached.loads;
   Loads out;
   std::set<std::string> regions;
   for (const InstanceState* it : board_->OfService(service)) {
@@ -253,6 +256,7 @@
         static_cast<double>(it->info().slots);
   }
   out.regions = regions.size();
+  cached = {now, out};
   return out;
 }
 
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -79,6 +79,8 @@
   // one object.
   static constexpr double kObjectsPerInstance = 10;
   static constexpr size_t kMostRanks = 3;
+  // Age up to which the mean load of a region is used again.
+  static constexpr Duration kLoadsPeriod = std::chrono::milliseconds(20);
   static constexpr Duration kObjectMemory = std::chrono::seconds(10);
   // Cost of a cold run beyond its own time, as a part of the additional slot
   // time that it takes from others.
@@ -138,13 +140,19 @@
   size_t RanksFor(const std::string& service, size_t instances) const;
   PlacementChoice Rate(const PlacementRequest& request, const Candidate& it,
                        size_t rank, bool home, TimePoint now) const;
-  Loads LoadsOf(const std::string& service, TimePoint now) const;
+  Loads LoadsOf(const std::string& service, TimePoint now);
   bool MaySpill(TimePoint now) const;
 
   PlacementSettings settings_;
   InstanceBoard* board_;
   WorkModel work_;
   ColdPacer pacer_;
+  // Loads by service, computed at most every kLoadsPeriod.
+  struct CachedLoads {
+    TimePoint at{};
+    Loads loads;
+  };
+  std::map<std::string, CachedLoads> loads_;
   RegionSplit split_;
   std::map<std::string, double> answer_bytes_;  // mean by service
   // When each object of a service was asked for last.
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -37,12 +37,18 @@
   sequence_ = 0;
 }
 
-std::string FrameWriter::Write(const wire::MessageT& message) {
+std::string PackMessage(const wire::MessageT& message) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(wire::Message::Pack(builder, &message));
-  const std::string_view body(
-      reinterpret_cast<const char*>(builder.GetBufferPointer()),
-      builder.GetSize());
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::string FrameWriter::Write(const wire::MessageT& message) {
+  return WritePacked(PackMessage(message));
+}
+
+std::string FrameWriter::WritePacked(std::string_view body) {
   assert(body.size() <= kMaxMessageBytes);
   const auto n = static_cast<uint32_t>(kMacBytes + body.size());
   std::string out;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -17,6 +17,9 @@
 // both sides and not sent, so a replayed or reordered frame fails the check.
 inline constexpr size_t kMaxMessageBytes = 1 << 20;
 
+// The FlatBuffer of a message.
+std::string PackMessage(const wire::MessageT& message);
+
 // Makes the frames of one direction of a link. Before the handshake is done the
 // key is all zero.
 class FrameWriter {
@@ -24,6 +27,9 @@
   void SetKey(const Digest& key);
   // The message must be smaller than kMaxMessageBytes.
   std::string Write(const wire::MessageT& message);
+  // The same for a message that PackMessage has packed, so that one message for
+  // many peers is packed once.
+  std::string WritePacked(std::string_view packed);
 
  private:
   Digest key_;
--- /dev/null
+++ b/tests/http/parser_test.cc
@@ -0,0 +1,139 @@
+#include "http/parser.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace rwf {
+namespace {
+
+struct ResponseFixture {
+  MessageParser parser{HttpSide::kResponse, {}};
+};
+
+struct RequestFixture {
+  MessageParser parser{HttpSide::kRequest, {1024, 16}};
+};
+
+// Guards against a message that is only complete when it arrives in one piece.
+TEST_CASE("Request, split at every byte, is parsed the same") {
+  const std::string text =
+      "POST /a/b?c=1 HTTP/1.1\r\nHost: x.example\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (size_t at = 1; at < text.size(); ++at) {
+    MessageParser parser(HttpSide::kRequest, {});
+    CHECK(parser.Feed(text.substr(0, at)) == at);
+    CHECK(parser.state() != ParseState::kComplete);
+    CHECK(parser.Feed(text.substr(at)) == text.size() - at);
+    REQUIRE(parser.state() == ParseState::kComplete);
+    CHECK(parser.message().method == "POST");
+    CHECK(parser.message().target == "/a/b?c=1");
+    CHECK(parser.message().body == "abcde");
+    CHECK(parser.message().headers.Get("host") == "x.example");
+  }
+}
+
+// Guards against bytes of the next message being taken for this one.
+TEST_CASE_FIXTURE(ResponseFixture,
+                  "Response, followed by more bytes, leaves them unread") {
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  const std::string second = "HTTP/1.1 204 No Content\r\n\r\n";
+  CHECK(parser.Feed(first + second) == first.size());
+  CHECK(parser.state() == ParseState::kComplete);
+  parser.Reset();
+  CHECK(parser.Feed(second) == second.size());
+  CHECK(parser.state() == ParseState::kComplete);
+  CHECK(parser.message().status == 204);
+}
+
+// Guards against a truncated answer that looks whole.
+TEST_CASE("Response, ended by its connection, is complete only where allowed") {
+  struct Row {
+    const char* text;
+    ParseState state;
+  };
+  const std::vector<Row> rows = {
+      {"HTTP/1.1 200 OK\r\n\r\nabc", ParseState::kComplete},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+       ParseState::kMalformed},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+       ParseState::kMalformed},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.text);
+    MessageParser parser(HttpSide::kResponse, {});
+    parser.Feed(row.text);
+    REQUIRE(parser.state() == ParseState::kBody);
+    parser.FeedEnd();
+    CHECK(parser.state() == row.state);
+  }
+}
+
+// Guards against request smuggling and unbounded input.
+TEST_CASE("Request, malformed or too large, is refused") {
+  struct Row {
+    std::string text;
+    ParseState state;
+  };
+  const std::vector<Row> rows = {
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n",
+       ParseState::kMalformed},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+       ParseState::kMalformed},
+      {"NONSENSE\r\n\r\n", ParseState::kMalformed},
+      {"GET / HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n",
+       ParseState::kHeadTooLarge},
+      {"POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n12345678901234567",
+       ParseState::kBodyTooLarge},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.text);
+    RequestFixture it;
+    it.parser.Feed(row.text);
+    CHECK(it.parser.state() == row.state);
+  }
+}
+
+// Guards against an interim response being passed on as the answer.
+TEST_CASE_FIXTURE(ResponseFixture, "Response, after an interim one, is read") {
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "0\r\n\r\n";
+  CHECK(parser.Feed(text) == text.size());
+  CHECK(parser.state() == ParseState::kComplete);
+  CHECK(parser.message().status == 200);
+}
+
+// Guards against fields of one connection reaching the next hop.
+TEST_CASE("Headers, forwarded, lose what concerns one connection") {
+  HttpHeaders headers;
+  headers.Add("Host", "x");
+  headers.Add("Connection", "close, X-Hop");
+  headers.Add("X-Hop", "1");
+  headers.Add("Keep-Alive", "timeout=5");
+  headers.Add("Content-Length", "3");
+  headers.Add("X-Other", "2");
+  const HttpHeaders out = ForwardableHeaders(headers);
+  CHECK(out.Has("Host"));
+  CHECK(out.Has("X-Other"));
+  for (const char* name : {"Connection", "X-Hop", "Keep-Alive",
+                           "Content-Length"}) {
+    CAPTURE(name);
+    CHECK_FALSE(out.Has(name));
+  }
+}
+
+TEST_CASE("Response, serialized, parses back") {
+  HttpHeaders headers;
+  headers.Add("A", "b");
+  const std::string text = SerializeResponse(200, headers, "body", false);
+  MessageParser parser(HttpSide::kResponse, {});
+  CHECK(parser.Feed(text) == text.size());
+  REQUIRE(parser.state() == ParseState::kComplete);
+  CHECK(parser.message().body == "body");
+  CHECK(parser.message().headers.Get("a") == "b");
+}
+
+}  // namespace
+}  // namespace rwf
--- /dev/null
+++ b/tests/traffic/beliefs_test.cc
@@ -0,0 +1,226 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "traffic/catalog.h"
+#include "traffic/instance_board.h"
+#include "traffic/key_freshness.h"
+#include "traffic/region_split.h"
+#include "traffic/send_budget.h"
+#include "traffic/work_model.h"
+
+namespace rwf {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kSecond = std::chrono::seconds(1);
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+
+class InstanceFixture {
+ protected:
+  void Attempt(AttemptEnd end, Duration took = 200 * kMillisecond) {
+    const uint64_t id = ++last_;
+    state.OnSent(id, 5, 250 * kMillisecond, now);
+    now += took;
+    state.OnEnded(id, end, now);
+  }
+
+  InstanceState state{InstanceInfo{"i", "s", "10.0.0.1", 80, "z", "r", 6}};
+  TimePoint now = kStart;
+  uint64_t last_ = 0;
+};
+
+TEST_CASE_FIXTURE(InstanceFixture,
+                  "Instance, failures in a row, is ejected for a while") {
+  Attempt(AttemptEnd::kBroken);
+  CHECK_FALSE(state.IsEjected(now));
+  Attempt(AttemptEnd::kBroken);
+  CHECK(state.IsEjected(now));
+  now += InstanceState::kFirstEjection;
+  CHECK_FALSE(state.IsEjected(now));
+  Attempt(AttemptEnd::kBroken);
+  CHECK(state.IsEjected(now + InstanceState::kFirstEjection));
+}
+
+// Guards against an instance that fails every other request staying in use.
+TEST_CASE_FIXTURE(InstanceFixture,
+                  "Instance, half of its requests fail, is ejected for longer") {
+  Duration longest{};
+  for (int n = 0; n < 60; ++n) {
+    const bool was_out = state.IsEjected(now);
+    Attempt(n % 2 == 0 ? AttemptEnd::kInstanceError : AttemptEnd::kSucceeded);
+    if (was_out || !state.IsEjected(now)) continue;
+    Duration out{};
+    while (state.IsEjected(now + out)) out += 100 * kMillisecond;
+    longest = std::max(longest, out);
+    now += out;
+  }
+  CHECK(longest >= 4 * InstanceState::kFirstEjection);
+}
+
+TEST_CASE_FIXTURE(InstanceFixture,
+                  "Instance, refused connection, is ejected at once") {
+  Attempt(AttemptEnd::kConnectFailed, Duration::zero());
+  CHECK(state.IsEjected(now));
+}
+
+// Guards against a silent instance looking fast because nothing ends there.
+TEST_CASE_FIXTURE(InstanceFixture,
+                  "Instance, request in flight for long, looks slow") {
+  state.OnSent(1, 5, 250 * kMillisecond, now);
+  now += kSecond;
+  CHECK(state.SlownessAt(now) >= 4);
+  state.OnEnded(1, AttemptEnd::kCancelled, now);
+  CHECK(state.SlownessAt(now) < 1.1);
+}
+
+TEST_CASE_FIXTURE(InstanceFixture, "Instance, reported load, fades with age") {
+  state.OnReport(6, 4, now);
+  CHECK(state.LoadAt(now) == doctest::Approx(10));
+  CHECK(state.LoadAt(now + InstanceState::kReportHalfLife) ==
+        doctest::Approx(5));
+}
+
+TEST_CASE_FIXTURE(InstanceFixture, "Instance, object it ran, is warm there") {
+  CHECK_FALSE(state.IsWarmFor(5, now));
+  Attempt(AttemptEnd::kSucceeded);
+  CHECK(state.IsWarmFor(5, now));
+  CHECK_FALSE(state.IsWarmFor(6, now));
+  CHECK_FALSE(state.IsWarmFor(5, now + InstanceState::kWarmFor));
+}
+
+// Guards against beliefs of an earlier start being held against the next one.
+TEST_CASE("Board, same id with a later start, begins without beliefs") {
+  InstanceBoard board;
+  InstanceInfo info{"i", "s", "10.0.0.1", 80, "z", "r", 6};
+  info.born_ms = 1;
+  board.Put(info, kStart)->OnReport(6, 6, kStart);
+  CHECK(board.Put(info, kStart)->LoadAt(kStart) > 0);
+  info.born_ms = 2;
+  CHECK(board.Put(info, kStart)->LoadAt(kStart) == 0);
+  CHECK(board.OfService("s").size() == 1);
+  board.Remove("i");
+  CHECK(board.OfService("s").empty());
+}
+
+// Guards against keys that work longer than the time for a withdrawal.
+TEST_CASE("Freshness, without confirmation, ends after its limit") {
+  KeyFreshness freshness(3500 * kMillisecond);
+  CHECK_FALSE(freshness.IsFresh(kStart));
+  freshness.OnConfirmed(kStart);
+  CHECK(freshness.IsFresh(kStart + 3500 * kMillisecond));
+  CHECK_FALSE(freshness.IsFresh(kStart + 3501 * kMillisecond));
+  // An answer that was under way for long does not turn time back.
+  freshness.OnConfirmed(kStart + 2 * kSecond);
+  freshness.OnConfirmed(kStart + kSecond);
+  CHECK(freshness.IsFresh(kStart + 5 * kSecond));
+}
+
+// Guards against retries that multiply an overload: in any window the sends
+// beyond the first stay within ratio and allowance.
+TEST_CASE("Budget, any window, holds ratio and allowance") {
+  SendBudget budget;
+  budget.SetBounds({0.2, 9, 10 * kSecond});
+  std::mt19937_64 random(3);
+  std::deque<TimePoint> requests;
+  std::deque<TimePoint> extras;
+  TimePoint now = kStart;
+  for (int n = 0; n < 20'000; ++n) {
+    now += std::chrono::microseconds(random() % 20'000);
+    budget.OnRequest("s", now);
+    requests.push_back(now);
+    if (budget.TryExtra("s", now)) extras.push_back(now);
+    while (requests.front() <= now - 10 * kSecond) requests.pop_front();
+    while (!extras.empty() && extras.front() <= now - 10 * kSecond)
+      extras.pop_front();
+    CHECK(static_cast<double>(extras.size()) <=
+          0.2 * static_cast<double>(requests.size()) + 9);
+  }
+  CHECK(!extras.empty());
+}
+
+// Guards against traffic shifts above the cap, whatever the load does.
+TEST_CASE("Split, load jumps, moves its share under the cap") {
+  RegionSplit split(0.15);
+  split.Begin("s", 6, 72, 3, kStart);
+  std::mt19937_64 random(5);
+  TimePoint now = kStart;
+  std::deque<double> shares;
+  for (int n = 0; n < 400; ++n) {
+    now += 250 * kMillisecond;
+    split.OnLoad("s", static_cast<double>(random() % 3), 0.1, 400,
+                 {static_cast<double>(random() % 100) / 100}, now);
+    shares.push_back(split.ShareAway("s"));
+    if (shares.size() > 8) {
+      CHECK(std::abs(shares.back() - shares.front()) <= 0.15 * 0.75);
+      shares.pop_front();
+    }
+  }
+}
+
+TEST_CASE("Split, region with few slots, begins with objects elsewhere") {
+  RegionSplit split(0.15);
+  split.Begin("short", 6, 72, 3, kStart);
+  split.Begin("even", 24, 72, 3, kStart);
+  CHECK(split.ShareAway("short") > 0.5);
+  CHECK(split.ShareAway("even") == 0);
+}
+
+TEST_CASE("Work model, answers of two kinds, tells them apart") {
+  WorkModel model;
+  const Duration objective = 600 * kMillisecond;
+  CHECK_FALSE(model.Expected("r", objective).is_learned);
+  for (int n = 0; n < 100; ++n) {
+    model.OnAnswer("r", objective, WorkModel::Belief::kUnsure,
+                   (n % 2 == 0 ? 880 : 264) * kMillisecond);
+  }
+  const WorkModel::Times times = model.Expected("r", objective);
+  CHECK(ToMillis(times.cold) == doctest::Approx(880).epsilon(0.05));
+  CHECK(ToMillis(times.warm) == doctest::Approx(264).epsilon(0.05));
+}
+
+class CatalogFixture {
+ protected:
+  static TrafficRoute Route(const std::string& name, const std::string& prefix) {
+    TrafficRoute out;
+    out.name = name;
+    out.host = "A.example";
+    out.prefix = prefix;
+    out.backends = {{"s", 1}};
+    return out;
+  }
+  Catalog catalog{3,
+                  {Route("root", "/"), Route("a", "/a/"), Route("ab", "/a/b/")},
+                  {},
+                  {},
+                  {}};
+};
+
+TEST_CASE_FIXTURE(CatalogFixture, "Catalog, path, takes the longest prefix") {
+  struct Row {
+    const char* host;
+    const char* path;
+    const char* route;
+  };
+  for (const Row& row : {Row{"a.example", "/a/b/c", "ab"},
+                         Row{"A.EXAMPLE:80", "/a/b", "a"},
+                         Row{"a.example", "/a", "root"},
+                         Row{"a.example", "/", "root"},
+                         Row{"b.example", "/", nullptr}}) {
+    CAPTURE(row.path);
+    const TrafficRoute* it = catalog.FindRoute(row.host, row.path);
+    CHECK((it == nullptr) == (row.route == nullptr));
+    if (it != nullptr) CHECK(it->name == row.route);
+  }
+}
+
+TEST_CASE("Regions, two lists, allow what both allow") {
+  CHECK(IntersectRegions({}, {}).Allows("x"));
+  CHECK_FALSE(IntersectRegions({"a"}, {}).Allows("x"));
+  CHECK(IntersectRegions({"a", "b"}, {"b"}).Allows("b"));
+  CHECK_FALSE(IntersectRegions({"a", "b"}, {"b"}).Allows("a"));
+  CHECK_FALSE(IntersectRegions({"a"}, {"b"}).Allows("a"));
+}
+
+}  // namespace
+}  // namespace rwf
--- /dev/null
+++ b/tests/traffic/fleet_limiter_test.cc
@@ -0,0 +1,206 @@
+#include "traffic/fleet_limiter.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rwf {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kReports = std::chrono::milliseconds(100);
+constexpr Duration kWindow = std::chrono::seconds(5);
+
+TrafficWorkspace Workspace(double rate, double burst) {
+  TrafficWorkspace out;
+  out.name = "w";
+  out.rate = rate;
+  out.burst = burst;
+  return out;
+}
+
+// Limiters of several VMs on virtual time, with reports that take one period.
+class LimiterFleet {
+ public:
+  LimiterFleet(size_t vms, double rate, double burst)
+      : rate_(rate), burst_(burst), random_(7) {
+    for (size_t n = 0; n < vms; ++n) {
+      names_.push_back("vm" + std::to_string(n));
+      groups_.push_back(0);
+      vms_.push_back(nullptr);
+    }
+    for (size_t n = 0; n < vms; ++n) Restart(n);
+  }
+
+  void Restart(size_t n) {
+    vms_[n] = std::make_unique<FleetLimiter>();
+    vms_[n]->SetLimits({Workspace(rate_, burst_)}, now_);
+    std::vector<std::string> peers;
+    for (const std::string& it : names_) {
+      if (it != names_[n]) peers.push_back(it);
+    }
+    vms_[n]->SetPeers(peers, now_);
+    incarnations_.resize(vms_.size());
+    ++incarnations_[n];
+    is_new_ = true;
+  }
+  // VMs of different groups do not hear each other.
+  void SetGroup(size_t n, int group) { groups_[n] = group; }
+
+  // `demand` in requests a second by VM. Counts what is asked and admitted.
+  void Run(Duration time, const std::vector<double>& demand) {
+    for (const TimePoint end = now_ + time; now_ < end; now_ += kStep) {
+      for (size_t n = 0; n < vms_.size(); ++n) {
+        std::poisson_distribution<int> arrivals(demand[n] * ToSeconds(kStep));
+        for (int k = arrivals(random_); k > 0; --k) {
+          ++asked;
+          if (!vms_[n]->TryAdmit("w", now_)) continue;
+          ++admitted;
+          times_.push_back(now_);
+        }
+      }
+      while (!times_.empty() && times_.front() <= now_ - kWindow)
+        times_.pop_front();
+      worst_window = std::max(worst_window, times_.size());
+      if (now_ - reported_at_ >= kReports) Exchange();
+    }
+  }
+
+  size_t asked = 0;
+  size_t admitted = 0;
+  size_t worst_window = 0;
+
+ private:
+  void Exchange() {
+    reported_at_ = now_;
+    for (size_t from = 0; from < vms_.size(); ++from) {
+      const auto report = vms_[from]->Report(is_new_, now_);
+      for (size_t to = 0; to < vms_.size(); ++to) {
+        if (to == from || groups_[to] != groups_[from]) continue;
+        vms_[to]->OnReport(names_[from], incarnations_[from], report, now_);
+      }
+    }
+    is_new_ = false;
+  }
+
+  double rate_;
+  double burst_;
+  std::mt19937_64 random_;
+  TimePoint now_{std::chrono::hours(1)};
+  TimePoint reported_at_{};
+  std::vector<std::string> names_;
+  std::vector<int> groups_;
+  std::vector<uint64_t> incarnations_;
+  std::vector<std::unique_ptr<FleetLimiter>> vms_;
+  std::deque<TimePoint> times_;
+  bool is_new_ = true;
+};
+
+// The bound of the users: a tenth above rate and burst, and 20 requests.
+size_t Bound(double rate, double burst) {
+  return static_cast<size_t>((rate * 5 + burst) * 1.1 + 20);
+}
+
+// Load pattern: one workspace sends many times its rate, evenly or at one VM.
+TEST_CASE("Limiter, workspace over its rate, stays within the fleet's bound") {
+  struct Row {
+    size_t vms;
+    double factor;
+    bool is_skewed;
+  };
+  for (const Row& row : {Row{7, 7.5, false}, Row{7, 7.5, true},
+                         Row{25, 4, false}, Row{25, 4, true}}) {
+    CAPTURE(row.vms);
+    CAPTURE(row.is_skewed);
+    LimiterFleet fleet(row.vms, 145, 145);
+    const auto vms = static_cast<double>(row.vms);
+    fleet.Run(std::chrono::seconds(8), std::vector<double>(row.vms, 60 / vms));
+    std::vector<double> demand(row.vms, 145 * row.factor / vms);
+    if (row.is_skewed) {
+      demand.assign(row.vms, 1);
+      demand[0] = 145 * row.factor;
+    }
+    const size_t before = fleet.admitted;
+    fleet.Run(std::chrono::seconds(10), demand);
+    CHECK(fleet.worst_window <= Bound(145, 145));
+    // The rate is handed out, too.
+    CHECK(fleet.admitted - before >= 145 * 10 * 0.85);
+  }
+}
+
+// Load pattern: a workspace below its rate whose callers use a few VMs only.
+// Guards against refusals within the rate.
+TEST_CASE("Limiter, workspace below its rate, refuses under one in a hundred") {
+  struct Row {
+    size_t vms;
+    double rate;
+    bool is_skewed;
+  };
+  for (const Row& row :
+       {Row{7, 145, false}, Row{7, 145, true}, Row{7, 20, false},
+        Row{25, 145, true}, Row{25, 40, false}}) {
+    CAPTURE(row.vms);
+    CAPTURE(row.rate);
+    CAPTURE(row.is_skewed);
+    LimiterFleet fleet(row.vms, row.rate, row.rate);
+    std::vector<double> demand(row.vms,
+                               row.rate * 0.6 / static_cast<double>(row.vms));
+    if (row.is_skewed) {
+      demand.assign(row.vms, 0);
+      demand[0] = row.rate * 0.6;
+    }
+    // Buckets fill before callers come.
+    fleet.Run(std::chrono::seconds(3), std::vector<double>(row.vms, 0));
+    fleet.Run(std::chrono::seconds(20), demand);
+    CHECK(static_cast<double>(fleet.asked - fleet.admitted) <=
+          0.01 * static_cast<double>(fleet.asked));
+  }
+}
+
+// Guards against a restarted fleet that hands out the burst a second time.
+TEST_CASE("Limiter, all VMs restarted under load, stays within the bound") {
+  LimiterFleet fleet(7, 100, 100);
+  fleet.Run(std::chrono::seconds(10), std::vector<double>(7, 50));
+  for (size_t n = 0; n < 7; ++n) fleet.Restart(n);
+  fleet.Run(std::chrono::seconds(8), std::vector<double>(7, 50));
+  CHECK(fleet.worst_window <= Bound(100, 100));
+}
+
+// Guards against the parts of a partitioned fleet spending the rate twice.
+TEST_CASE("Limiter, fleet cut in two, spends one rate") {
+  LimiterFleet fleet(8, 100, 50);
+  fleet.Run(std::chrono::seconds(6), std::vector<double>(8, 25));
+  for (size_t n = 0; n < 4; ++n) fleet.SetGroup(n, 1);
+  fleet.Run(std::chrono::seconds(10), std::vector<double>(8, 25));
+  CHECK(fleet.worst_window <= Bound(100, 50));
+  for (size_t n = 0; n < 4; ++n) fleet.SetGroup(n, 0);
+  fleet.Run(std::chrono::seconds(10), std::vector<double>(8, 25));
+  CHECK(fleet.worst_window <= Bound(100, 50));
+}
+
+TEST_CASE("Limiter, workspace without a rate, admits everything") {
+  FleetLimiter limiter;
+  const TimePoint now{std::chrono::hours(1)};
+  limiter.SetLimits({Workspace(0, 0)}, now);
+  for (int n = 0; n < 1000; ++n) CHECK(limiter.TryAdmit("w", now));
+}
+
+TEST_CASE("Limiter, refunded request, can be admitted again") {
+  FleetLimiter limiter;
+  TimePoint now{std::chrono::hours(1)};
+  limiter.SetLimits({Workspace(1, 1)}, now);
+  now += std::chrono::seconds(2);
+  CHECK(limiter.TryAdmit("w", now));
+  CHECK_FALSE(limiter.TryAdmit("w", now));
+  CHECK(limiter.RetryAfter("w", now) > Duration::zero());
+  limiter.Refund("w");
+  now += std::chrono::seconds(1);
+  CHECK(limiter.TryAdmit("w", now));
+}
+
+}  // namespace
+}  // namespace rwf
--- /dev/null
+++ b/tests/traffic/placement_test.cc
@@ -0,0 +1,308 @@
+#include "traffic/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/hash.h"
+
+namespace rwf {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kObjective = std::chrono::milliseconds(600);
+constexpr Duration kCold = std::chrono::milliseconds(880);
+constexpr Duration kWarm = std::chrono::milliseconds(264);
+constexpr Duration kTimeout = std::chrono::milliseconds(2500);
+
+InstanceInfo Instance(int n, const std::string& region, int64_t slots = 6) {
+  InstanceInfo out;
+  out.id = "i" + std::to_string(n);
+  out.service = "s";
+  out.address = "10.0.0.1";
+  out.port = static_cast<uint16_t>(1000 + n);
+  out.zone = region + "-a";
+  out.region = region;
+  out.slots = slots;
+  return out;
+}
+
+PlacementRequest Request(uint64_t object) {
+  PlacementRequest out;
+  out.service = "s";
+  out.route = "r";
+  out.object = object;
+  out.objective = kObjective;
+  out.time_left = kTimeout;
+  out.priority = 2;
+  return out;
+}
+
+// One region of instances with slots, a queue and a memory for objects, used by
+// several VMs that do not talk to each other.
+class RegionSim {
+ public:
+  struct Outcome {
+    int asked = 0;
+    int in_time = 0;
+    int late = 0;
+    int refused = 0;
+    int failed = 0;  // not answered before the timeout
+  };
+  // Chooses an instance, or none.
+  using Policy = std::function<InstanceState*(
+      size_t vm, const PlacementRequest&, TimePoint now, PlacementChoice*)>;
+
+  RegionSim(size_t vms, int instances, size_t kept_objects)
+      : kept_(kept_objects), random_(11) {
+    for (size_t n = 0; n < vms; ++n) {
+      boards_.push_back(std::make_unique<InstanceBoard>());
+      for (int i = 0; i < instances; ++i)
+        boards_.back()->Put(Instance(i, "home"), kStart);
+      placements_.push_back(std::make_unique<Placement>(
+          PlacementSettings{"home"}, boards_.back().get()));
+    }
+    for (int i = 0; i < instances; ++i) servers_["i" + std::to_string(i)] = {};
+  }
+
+  Outcome Run(Duration time, double per_second, int objects, bool naive) {
+    Outcome out;
+    std::exponential_distribution<double> gap(per_second);
+    std::uniform_int_distribution<int> object(1, objects);
+    const TimePoint end = now_ + time;
+    TimePoint next = now_ + FromSeconds(gap(random_));
+    while (next < end) {
+      Finish(next, &out);
+      now_ = next;
+      next += FromSeconds(gap(random_));
+      ++out.asked;
+      Arrive(Hash64(std::to_string(object(random_))) | 1, naive, &out);
+    }
+    Finish(end, &out);
+    now_ = end;
+    return out;
+  }
+
+ private:
+  struct Job {
+    size_t vm = 0;
+    uint64_t attempt = 0;
+    uint64_t object = 0;
+    TimePoint arrived{};
+    bool is_warm = false;
+    Duration waiting{};
+  };
+  struct Server {
+    int running = 0;
+    std::deque<Job> queue;
+    std::list<uint64_t> warm;  // most recent first
+  };
+  struct End {
+    TimePoint at{};
+    std::string instance;
+    Job job;
+    bool operator<(const End& other) const { return at > other.at; }
+  };
+
+  void Arrive(uint64_t object, bool naive, Outcome* out) {
+    const size_t vm = next_attempt_ % boards_.size();
+    PlacementRequest request = Request(object);
+    Job job{vm, next_attempt_++, object, now_, false, {}};
+    InstanceState* it = nullptr;
+    if (naive) {
+      // Least loaded instance, whatever it holds.
+      for (InstanceState* s : boards_[vm]->OfService("s")) {
+        if (it == nullptr || s->LoadAt(now_) < it->LoadAt(now_)) it = s;
+      }
+      it->OnSent(job.attempt, object, kCold, now_);
+    } else {
+      const PlacementChoice choice =
+          placements_[vm]->Choose(request, 0, boards_.size(), now_);
+      if (choice.instance == nullptr) {
+        ++out->refused;
+        return;
+      }
+      placements_[vm]->OnSent(request, choice, 0, boards_.size(), now_);
+      it = choice.instance;
+      job.is_warm = choice.is_warm;
+      job.waiting = choice.expected_total - choice.expected;
+      it->OnSent(job.attempt, object, choice.patience, now_);
+    }
+    servers_[it->info().id].queue.push_back(job);
+    Start(it->info().id);
+  }
+
+  void Start(const std::string& id) {
+    Server& server = servers_[id];
+    while (server.running < 6 && !server.queue.empty()) {
+      const Job job = server.queue.front();
+      server.queue.pop_front();
+      ++server.running;
+      const auto warm =
+          std::find(server.warm.begin(), server.warm.end(), job.object);
+      const bool is_warm = warm != server.warm.end();
+      if (is_warm) server.warm.erase(warm);
+      server.warm.push_front(job.object);
+      if (server.warm.size() > kept_) server.warm.pop_back();
+      ends_.push({now_ + (is_warm ? kWarm : kCold), id, job});
+    }
+  }
+
+  void Finish(TimePoint until, Outcome* out) {
+    while (!ends_.empty() && ends_.top().at <= until) {
+      const End end = ends_.top();
+      ends_.pop();
+      now_ = end.at;
+      Server& server = servers_[end.instance];
+      --server.running;
+      Start(end.instance);
+      const Duration took = now_ - end.job.arrived;
+      InstanceState* state = boards_[end.job.vm]->Find(end.instance);
+      state->OnEnded(end.job.attempt, AttemptEnd::kSucceeded, now_);
+      state->OnReport(server.running,
+                      static_cast<int64_t>(server.queue.size()), now_);
+      placements_[end.job.vm]->work()->OnAnswer(
+          "r", kObjective,
+          end.job.is_warm ? WorkModel::Belief::kWarm
+                          : WorkModel::Belief::kUnsure,
+          took - end.job.waiting);
+      if (took <= kObjective) {
+        ++out->in_time;
+      } else if (took <= kTimeout) {
+        ++out->late;
+      } else {
+        ++out->failed;
+      }
+    }
+  }
+
+  size_t kept_;
+  std::mt19937_64 random_;
+  TimePoint now_ = kStart;
+  uint64_t next_attempt_ = 1;
+  std::vector<std::unique_ptr<InstanceBoard>> boards_;
+  std::vector<std::unique_ptr<Placement>> placements_;
+  std::map<std::string, Server> servers_;
+  std::priority_queue<End> ends_;
+};
+
+// Load pattern: a region at seven tenths of what its slots carry with warm
+// objects, but above what they carry cold.
+TEST_CASE("Placement, load that only warm runs can carry, is in time") {
+  RegionSim sim(3, 10, 24);
+  sim.Run(std::chrono::seconds(6), 100, 66, false);
+  const RegionSim::Outcome out =
+      sim.Run(std::chrono::seconds(20), 150, 66, false);
+  CHECK(out.in_time >= out.asked * 0.85);
+  CHECK(out.failed == 0);
+  RegionSim naive(3, 10, 24);
+  naive.Run(std::chrono::seconds(6), 100, 66, true);
+  const RegionSim::Outcome other =
+      naive.Run(std::chrono::seconds(20), 150, 66, true);
+  CHECK(out.in_time > other.in_time * 1.5);
+}
+
+// Load pattern: an ice storm, twice what all slots carry even when warm. Guards
+// against congestion collapse, in which every answer is late.
+TEST_CASE("Placement, twice the warm capacity, keeps most slots useful") {
+  RegionSim sim(3, 10, 24);
+  sim.Run(std::chrono::seconds(8), 130, 66, false);
+  const double capacity = 60 / ToSeconds(kWarm);
+  const RegionSim::Outcome out =
+      sim.Run(std::chrono::seconds(20), 2 * capacity, 66, false);
+  CHECK(out.in_time >= 0.6 * capacity * 20);
+  CHECK(out.failed <= out.asked / 100);
+}
+
+class PlacementFixture {
+ protected:
+  PlacementFixture() {
+    for (int n = 0; n < 8; ++n)
+      board.Put(Instance(n, n < 4 ? "home" : "far"), kStart);
+  }
+  PlacementChoice Choose(const PlacementRequest& request) {
+    return placement.Choose(request, 2, 2, kStart);
+  }
+
+  InstanceBoard board;
+  Placement placement{PlacementSettings{"home"}, &board};
+};
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, same object at two VMs, meets at one instance") {
+  Placement other(PlacementSettings{"home"}, &board);
+  for (uint64_t object = 1; object < 50; ++object) {
+    const PlacementChoice a = Choose(Request(object));
+    const PlacementChoice b = other.Choose(Request(object), 2, 2, kStart);
+    REQUIRE(a.instance != nullptr);
+    CHECK(a.instance == b.instance);
+  }
+}
+
+// Guards against work for leaving, replaced, evacuated or foreign instances.
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, instance that may not be used, is left out") {
+  InstanceInfo leaving = Instance(0, "home");
+  leaving.is_draining = true;
+  board.Put(leaving, kStart);
+  InstanceState* replaced = board.Find("i1");
+  replaced->OnSent(1, 0, kCold, kStart);
+  replaced->OnEnded(1, AttemptEnd::kMisdirected, kStart);
+  board.SetEvacuated("far-a", true);
+  for (uint64_t object = 1; object < 100; ++object) {
+    PlacementRequest request = Request(object);
+    request.tried = {"i2"};
+    const PlacementChoice choice = Choose(request);
+    REQUIRE(choice.instance != nullptr);
+    CHECK(choice.instance->info().id == "i3");
+  }
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, region not allowed, is never chosen") {
+  for (uint64_t object = 1; object < 100; ++object) {
+    PlacementRequest request = Request(object);
+    request.regions = {false, {"far"}};
+    CHECK(Choose(request).instance->info().region == "far");
+    request.regions = {false, {"nowhere"}};
+    const PlacementChoice none = Choose(request);
+    CHECK(none.instance == nullptr);
+  }
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, no instance at all, refuses with a return time") {
+  PlacementRequest request = Request(1);
+  request.service = "unknown";
+  const PlacementChoice choice = Choose(request);
+  CHECK(choice.instance == nullptr);
+  CHECK(choice.reason == NoPlace::kNoInstance);
+  CHECK(choice.retry_after > Duration::zero());
+}
+
+// Guards against overrunning instances that have just started: all VMs together
+// stay within what a cold instance bears.
+TEST_CASE("Cold pacer, several VMs, stay under the rate together") {
+  for (const size_t vms : {1, 3, 7}) {
+    CAPTURE(vms);
+    std::vector<ColdPacer> pacers(vms);
+    int sent = 0;
+    for (int ms = 0; ms < 4000; ++ms) {
+      for (ColdPacer& it : pacers) {
+        if (it.TryTake("i", 5.3, vms, kStart + std::chrono::milliseconds(ms)))
+          ++sent;
+      }
+    }
+    CHECK(sent <= 5.3 * 4 + static_cast<double>(vms));
+  }
+}
+
+}  // namespace
+}  // namespace rwf
