--- /dev/null
+++ b/bench/traffic_bench.cc
@@ -0,0 +1,76 @@
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "base/hash.h"
+#include "traffic/fleet_limiter.h"
+#include "traffic/placement.h"
+
+namespace rwf {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+// One choice among `instances` of three regions.
+void BM_Choose(benchmark::State& state) {
+  InstanceBoard board;
+  const auto instances = static_cast<int>(state.range(0));
+  for (int n = 0; n < instances; ++n) {
+    InstanceInfo info;
+    info.id = "i-" + std::to_string(Hash64(std::to_string(n)));
+    info.service = "s";
+    info.address = "10.0.0.1";
+    info.port = 80;
+    info.region = "region-" + std::to_string(n % 3);
+    info.zone = info.region + "-a";
+    info.slots = 6;
+    board.Put(info, kStart);
+  }
+  Placement placement({"region-0"}, &board);
+  PlacementRequest request;
+  request.service = "s";
+  request.route = "r";
+  request.objective = std::chrono::milliseconds(600);
+  request.time_left = std::chrono::milliseconds(2500);
+  uint64_t n = 0;
+  TimePoint now = kStart;
+  for (auto _ : state) {
+    request.object = Hash64(std::to_string(n % 300)) | 1;
+    now += std::chrono::milliseconds(3);
+    const PlacementChoice choice = placement.Choose(request, 5, 8, now);
+    choice.instance->OnSent(n, request.object, choice.patience, now);
+    if (n >= 50) {
+      for (const auto& [id, it] : board.all())
+        it->OnEnded(n - 50, AttemptEnd::kCancelled, now);
+    }
+    ++n;
+    benchmark::DoNotOptimize(choice);
+  }
+}
+BENCHMARK(BM_Choose)->Arg(16)->Arg(152)->Arg(324);
+
+// One admission with 24 peers that report.
+void BM_Admit(benchmark::State& state) {
+  FleetLimiter limiter;
+  TrafficWorkspace workspace;
+  workspace.name = "w";
+  workspace.rate = 1000;
+  workspace.burst = 1000;
+  TimePoint now = kStart;
+  limiter.SetLimits({workspace}, now);
+  std::vector<std::string> peers;
+  for (int n = 0; n < 24; ++n) peers.push_back("vm" + std::to_string(n));
+  limiter.SetPeers(peers, now);
+  for (const std::string& it : peers)
+    limiter.OnReport(it, 1, {{"w", 10, 20, 900}}, now);
+  for (auto _ : state) {
+    now += std::chrono::milliseconds(1);
+    benchmark::DoNotOptimize(limiter.TryAdmit("w", now));
+  }
+}
+BENCHMARK(BM_Admit);
+
+}  // namespace
+}  // namespace rwf
+
+BENCHMARK_MAIN();
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -174,6 +174,13 @@
     share->away = static_cast<float>(away);
     report.shares.push_back(std::move(share));
   }
+  for (const auto& [key, n] : loads_) {
+    auto load = std::make_unique<wire::RegionLoadT>();
+    load->service = key.service;
+    load->region = key.region;
+    load->in_flight = static_cast<uint32_t>(n);
+    report.loads.push_back(std::move(load));
+  }
   wire::MessageT message;
   message.body.Set(std::move(report));
   links_->SendToAll(message);
@@ -194,6 +201,9 @@
   member.shares.clear();
   for (const auto& share : report->shares)
     member.shares[share->service] = share->away;
+  member.loads.clear();
+  for (const auto& load : report->loads)
+    member.loads[{load->service, load->region}] = load->in_flight;
   std::vector<WorkspaceUsage> usage;
   usage.reserve(report->uses.size());
   for (const auto& use : report->uses)
@@ -246,6 +256,16 @@
   return out;
 }
 
+RegionLoads Fleet::PeerLoads() const {
+  const TimePoint now = EventLoop::Now();
+  RegionLoads out;
+  for (const auto& [vm, it] : vms_) {
+    if (!it.is_heard || now - it.heard_at >= kSilence) continue;
+    for (const auto& [key, n] : it.loads) out[key] += n;
+  }
+  return out;
+}
+
 Duration Fleet::LongestStoreContact() const {
   const TimePoint now = EventLoop::Now();
   Duration out{};
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -12,6 +12,7 @@
 #include "net/event_loop.h"
 #include "net/peer_links.h"
 #include "traffic/fleet_limiter.h"
+#include "traffic/placement.h"
 
 namespace rwf {
 
@@ -71,7 +72,10 @@
   void SetOwnShares(std::map<std::string, double> shares) {
     shares_ = std::move(shares);
   }
-  // The same of the other VMs of this region that were heard lately.
+  void SetOwnLoads(RegionLoads loads) { loads_ = std::move(loads); }
+  // Requests in flight of all other VMs that were heard lately.
+  RegionLoads PeerLoads() const;
+  // Shares of the other VMs of this region that were heard lately.
   std::map<std::string, std::vector<double>> SharesInRegion() const;
 
   // Front addresses that a caller of a zone should use, best first.
@@ -97,6 +101,7 @@
     bool keys_fresh = false;
     Duration store_contact{};
     std::map<std::string, double> shares;
+    RegionLoads loads;
   };
   void Relink();
   void Tick();
@@ -115,6 +120,7 @@
   uint64_t catalog_version_ = 0;
   Duration store_contact_{};
   std::map<std::string, double> shares_;
+  RegionLoads loads_;
   TimePoint reported_at_{};
   // Reports since the last one that told everything.
   int partial_reports_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -288,12 +288,13 @@
       watch_.is_loaded()
           ? settings_.retry_extra / static_cast<double>(1 + fleet_.size())
           : 0;
-  budget_.SetBounds(
-      {settings_.retry_ratio, allowance, settings_.retry_window});
+  budget_.SetBounds({settings_.retry_ratio, allowance, settings_.retry_window});
 }
 
 void Gateway::Tick() {
   const TimePoint now = EventLoop::Now();
+  placement_.SetPeerLoads(fleet_.PeerLoads());
+  fleet_.SetOwnLoads(placement_.OwnLoads());
   placement_.Tick(services_, fleet_.SharesInRegion(), now);
   std::map<std::string, double> shares;
   for (const std::string& service : services_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,7 +47,7 @@
   static constexpr Duration kStoreTrouble = std::chrono::seconds(4);
   // They are back this soon after the store is, or gone.
   static constexpr Duration kReturn = std::chrono::milliseconds(2000);
-  static constexpr Duration kTick = std::chrono::milliseconds(250);
+  static constexpr Duration kTick = std::chrono::milliseconds(150);
   // Part of the time until SIGKILL in which new requests are taken; what is
   // left has to suffice for the longest of them.
   static constexpr double kServePart = 0.42;
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -17,11 +17,13 @@
 // changes were missed. Deliveries of one key never go back in revision.
 class StoreWatch {
  public:
-  // Bounds both the time in which a silent connection is noticed and the age of
-  // the last confirmation. Every call is paid for.
-  static constexpr Duration kWait = std::chrono::milliseconds(2700);
+  // Bounds both the time in which a silent connection or a watch that hears
+  // nothing is noticed and the age of the last confirmation: with the margin of
+  // the call, a gathering pause and one more read it stays below 3 s, and keys
+  // are refused after 3.5 s. Every call is paid for, so it is not shorter.
+  static constexpr Duration kWait = std::chrono::milliseconds(1900);
   // Changes often come in groups; waiting this long after one spares calls.
-  static constexpr Duration kGather = std::chrono::milliseconds(400);
+  static constexpr Duration kGather = std::chrono::milliseconds(300);
   // Time for one page. Without contact most calls end early, so that a store
   // that is back is noticed soon; each third one allows for a slow store.
   static constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
--- a/src/traffic/fleet_limiter.cc
+++ b/src/traffic/fleet_limiter.cc
@@ -76,8 +76,8 @@
     if (peer == peers_.end() || !IsHeard(peer->second, now)) continue;
     ++heard;
     // Until the next report the demand is taken to fade.
-    all += usage.demand *
-           std::exp(-ToSeconds(now - usage.heard_at) / ToSeconds(kDemandWindow));
+    all += usage.demand * std::exp(-ToSeconds(now - usage.heard_at) /
+                                   ToSeconds(kDemandWindow));
   }
   const double even = 1.0 / static_cast<double>(1 + heard);
   if (all <= 0) return even;
@@ -123,7 +123,7 @@
 }
 
 std::vector<WorkspaceUsage> FleetLimiter::Report(bool everything,
-                                                TimePoint now) {
+                                                 TimePoint now) {
   std::vector<WorkspaceUsage> out;
   for (auto& [name, bucket] : buckets_) {
     Refill(&bucket, now);
--- a/src/traffic/instance_board.cc
+++ b/src/traffic/instance_board.cc
@@ -97,7 +97,8 @@
 }
 
 double InstanceState::LoadAt(TimePoint now) const {
-  return in_flight() + Decayed(others_, now - reported_at_, kReportHalfLife);
+  return in_flight() + mean_others_ +
+         Decayed(others_ - mean_others_, now - reported_at_, kReportHalfLife);
 }
 
 double InstanceState::SlownessAt(TimePoint now) const {
--- a/src/traffic/instance_board.h
+++ b/src/traffic/instance_board.h
@@ -81,8 +81,11 @@
   void OnReport(int64_t running, int64_t waiting, TimePoint now);
 
   int in_flight() const { return static_cast<int>(attempts_.size()); }
-  // Requests running or waiting there, from all VMs.
+  // Requests running or waiting there, from all VMs: own ones, and those of
+  // others by the last report, which gives way to their mean as it ages.
   double LoadAt(TimePoint now) const;
+  // Mean number of requests that other VMs have in flight at such an instance.
+  void set_mean_others(double n) { mean_others_ = n; }
   // How many times longer than expected its requests take, at least 1.
   double SlownessAt(TimePoint now) const;
   bool IsEjected(TimePoint now) const { return now < ejected_until_; }
@@ -110,6 +113,7 @@
   TimePoint shed_until_{};
   std::unordered_map<uint64_t, Attempt> attempts_;
   std::unordered_map<uint64_t, TimePoint> warm_;
+  double mean_others_ = 0;
   double others_ = 0;  // requests of other VMs at the last report
   TimePoint reported_at_{};
   double slowness_ = 1;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -239,8 +239,7 @@
   return spilled_[0] < limit * std::max(requests / 2, requests_[0]) + 1;
 }
 
-Placement::Loads Placement::LoadsOf(const std::string& service,
-                                    TimePoint now) {
+Placement::Loads Placement::LoadsOf(const std::string& service, TimePoint now) {
   CachedLoads& cached = loads_[service];
   const bool is_known = cached.loads.home_slots + cached.loads.away_slots > 0;
   if (is_known && now - cached.at < kLoadsPeriod) return cached.loads;
@@ -251,10 +250,16 @@
       continue;
     regions.insert(it->info().region);
     const bool is_home = it->info().region == settings_.region;
-    (is_home ? out.home_load : out.away_load) += it->LoadAt(now);
+    (is_home ? out.home_load : out.away_load) += it->in_flight();
     (is_home ? out.home_slots : out.away_slots) +=
         static_cast<double>(it->info().slots);
   }
+  for (const std::string& region : regions) {
+    const auto peers = peer_loads_.find({service, region});
+    if (peers == peer_loads_.end()) continue;
+    (region == settings_.region ? out.home_load : out.away_load) +=
+        peers->second;
+  }
   out.regions = regions.size();
   cached = {now, out};
   return out;
@@ -268,6 +273,30 @@
   return away_slots > 0 ? away_load / away_slots : kNoSlotsLoad;
 }
 
+RegionLoads Placement::OwnLoads() const {
+  RegionLoads out;
+  for (const auto& [id, it] : board_->all()) {
+    if (it->in_flight() > 0)
+      out[{it->info().service, it->info().region}] += it->in_flight();
+  }
+  return out;
+}
+
+void Placement::SetPeerLoads(const RegionLoads& loads) {
+  peer_loads_ = loads;
+  std::map<ServiceRegion, double> slots;
+  for (const auto& [id, it] : board_->all()) {
+    slots[{it->info().service, it->info().region}] +=
+        static_cast<double>(it->info().slots);
+  }
+  for (const auto& [id, it] : board_->all()) {
+    const ServiceRegion key{it->info().service, it->info().region};
+    const auto load = peer_loads_.find(key);
+    const double part = static_cast<double>(it->info().slots) / slots[key];
+    it->set_mean_others(load == peer_loads_.end() ? 0 : load->second * part);
+  }
+}
+
 void Placement::OnAnswer(const std::string& service, size_t bytes) {
   double& mean = answer_bytes_[service];
   mean += kBytesGain * (static_cast<double>(bytes) - mean);
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -52,6 +52,16 @@
   double away_load = 0;
 };
 
+// A service's instances in one region.
+struct ServiceRegion {
+  std::string service;
+  std::string region;
+  friend bool operator==(const ServiceRegion&, const ServiceRegion&) = default;
+  friend auto operator<=>(const ServiceRegion&, const ServiceRegion&) = default;
+};
+// Requests in flight by service and region.
+using RegionLoads = std::map<ServiceRegion, double>;
+
 struct PlacementSettings {
   std::string region;  // of this VM
   double max_shift = 0.15;
@@ -68,7 +78,7 @@
   // reject most of it.
   static constexpr double kMostLoad = 3.0;
   // A region with less load for each slot takes whatever can be answered.
-  static constexpr double kRelaxedLoad = 0.6;
+  static constexpr double kRelaxedLoad = 0.9;
   // Load up to which a slot counts as free in a full region.
   static constexpr double kFreeLoad = 1.0;
   // In a full region a request is queued if its answer is expected within this
@@ -105,6 +115,10 @@
   void Tick(const std::vector<std::string>& services,
             const std::map<std::string, std::vector<double>>& peer_shares,
             TimePoint now);
+  // Requests of this VM in flight.
+  RegionLoads OwnLoads() const;
+  // The same of all other VMs together.
+  void SetPeerLoads(const RegionLoads& loads);
   // An answer of a service came, of that many bytes.
   void OnAnswer(const std::string& service, size_t bytes);
   const RegionSplit& split() const { return split_; }
@@ -153,6 +167,7 @@
     Loads loads;
   };
   std::map<std::string, CachedLoads> loads_;
+  RegionLoads peer_loads_;
   RegionSplit split_;
   std::map<std::string, double> answer_bytes_;  // mean by service
   // When each object of a service was asked for last.
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -117,8 +117,8 @@
   const HttpHeaders out = ForwardableHeaders(headers);
   CHECK(out.Has("Host"));
   CHECK(out.Has("X-Other"));
-  for (const char* name : {"Connection", "X-Hop", "Keep-Alive",
-                           "Content-Length"}) {
+  for (const char* name :
+       {"Connection", "X-Hop", "Keep-Alive", "Content-Length"}) {
     CAPTURE(name);
     CHECK_FALSE(out.Has(name));
   }
--- a/tests/traffic/beliefs_test.cc
+++ b/tests/traffic/beliefs_test.cc
@@ -43,8 +43,9 @@
 }
 
 // Guards against an instance that fails every other request staying in use.
-TEST_CASE_FIXTURE(InstanceFixture,
-                  "Instance, half of its requests fail, is ejected for longer") {
+TEST_CASE_FIXTURE(
+    InstanceFixture,
+    "Instance, half of its requests fail, is ejected for longer") {
   Duration longest{};
   for (int n = 0; n < 60; ++n) {
     const bool was_out = state.IsEjected(now);
@@ -181,7 +182,8 @@
 
 class CatalogFixture {
  protected:
-  static TrafficRoute Route(const std::string& name, const std::string& prefix) {
+  static TrafficRoute Route(const std::string& name,
+                            const std::string& prefix) {
     TrafficRoute out;
     out.name = name;
     out.host = "A.example";
@@ -202,11 +204,10 @@
     const char* path;
     const char* route;
   };
-  for (const Row& row : {Row{"a.example", "/a/b/c", "ab"},
-                         Row{"A.EXAMPLE:80", "/a/b", "a"},
-                         Row{"a.example", "/a", "root"},
-                         Row{"a.example", "/", "root"},
-                         Row{"b.example", "/", nullptr}}) {
+  for (const Row& row :
+       {Row{"a.example", "/a/b/c", "ab"}, Row{"A.EXAMPLE:80", "/a/b", "a"},
+        Row{"a.example", "/a", "root"}, Row{"a.example", "/", "root"},
+        Row{"b.example", "/", nullptr}}) {
     CAPTURE(row.path);
     const TrafficRoute* it = catalog.FindRoute(row.host, row.path);
     CHECK((it == nullptr) == (row.route == nullptr));
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -166,8 +166,8 @@
       const Duration took = now_ - end.job.arrived;
       InstanceState* state = boards_[end.job.vm]->Find(end.instance);
       state->OnEnded(end.job.attempt, AttemptEnd::kSucceeded, now_);
-      state->OnReport(server.running,
-                      static_cast<int64_t>(server.queue.size()), now_);
+      state->OnReport(server.running, static_cast<int64_t>(server.queue.size()),
+                      now_);
       placements_[end.job.vm]->work()->OnAnswer(
           "r", kObjective,
           end.job.is_warm ? WorkModel::Belief::kWarm
