Start limits with a part of their tolerance; test the data path and the adapter

Requests that name no object were placed by rank instead of by load, and without reports of peers a VM again took a full region for an idle one; both were found by the new tests.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,7 @@
   parts.front = front_.get();
   parts.home_users = [this] { return fleet_.VmsInRegion(); };
   forwarder_ = std::make_unique<Forwarder>(std::move(parts));
+  limiter_.SetTolerance(settings_.limit_tolerance);
   SetRetryBounds();
   watch_.signal_item.connect([this](const StoreItem& it) { OnItem(it); });
   watch_.signal_removed.connect(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,6 +30,7 @@
   double retry_ratio = 0;  // sends beyond the first, of the requests
   double retry_extra = 0;  // and on top, of all VMs together
   Duration retry_window{};
+  FleetLimiter::Tolerance limit_tolerance;
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
 };
--- a/src/traffic/fleet_limiter.cc
+++ b/src/traffic/fleet_limiter.cc
@@ -26,6 +26,14 @@
     Refill(&bucket, now);
     bucket.rate = it.rate * kUsedPart;
     bucket.burst = std::max(1.0, it.burst);
+    if (is_new) {
+      bucket.level =
+          kFirstPart *
+          (tolerance_.requests +
+           tolerance_.ratio *
+               (bucket.rate * ToSeconds(tolerance_.window) + bucket.burst));
+      bucket.share_tokens = bucket.level;
+    }
     bucket.level = std::min(bucket.level, bucket.burst);
   }
   std::erase_if(buckets_,
--- a/src/traffic/fleet_limiter.h
+++ b/src/traffic/fleet_limiter.h
@@ -44,8 +44,21 @@
   // Part of the rate that is given out; the rest covers reports under way.
   static constexpr double kUsedPart = 1.0;
 
+  // What may be admitted beyond rate and burst in a window, all VMs together.
+  struct Tolerance {
+    double ratio = 0;
+    double requests = 0;
+    Duration window = std::chrono::seconds(5);
+    friend bool operator==(const Tolerance&, const Tolerance&) = default;
+  };
+  // Part of the tolerance that a process begins with: what the VMs spent before
+  // they were all restarted is not known, and the rest of the tolerance covers
+  // reports under way.
+  static constexpr double kFirstPart = 0.5;
+  void SetTolerance(const Tolerance& tolerance) { tolerance_ = tolerance; }
+
   // Limits of a new configuration. Buckets of known workspaces keep their
-  // levels, new ones start empty.
+  // levels, new ones start with a part of the tolerance.
   void SetLimits(const std::vector<TrafficWorkspace>& workspaces,
                  TimePoint now);
   // All VMs of the fleet but this one, heard or not.
@@ -99,7 +112,7 @@
 
   std::map<std::string, Bucket> buckets_;
   std::map<std::string, Peer> peers_;
-  TimePoint started_at_{};
+  Tolerance tolerance_;
 };
 
 }  // namespace rwf
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -153,8 +153,11 @@
       if (!IsWorthwhile(request, choice, home_ranks, region_load, now))
         continue;
       double cost = ToSeconds(choice.expected_total);
-      if (!choice.is_warm && choice.rank > 0) cost += additional;
-      if (choice.rank >= home_ranks) cost += additional * kLateRankCost;
+      // Without an object all instances are equally cold.
+      if (request.object != 0) {
+        if (!choice.is_warm && choice.rank > 0) cost += additional;
+        if (choice.rank >= home_ranks) cost += additional * kLateRankCost;
+      }
       // Among equals the one with more free slots.
       cost += kLoadCost * it->LoadAt(now) /
               static_cast<double>(std::max<int64_t>(1, it->info().slots));
@@ -250,16 +253,10 @@
       continue;
     regions.insert(it->info().region);
     const bool is_home = it->info().region == settings_.region;
-    (is_home ? out.home_load : out.away_load) += it->in_flight();
+    (is_home ? out.home_load : out.away_load) += it->LoadAt(now);
     (is_home ? out.home_slots : out.away_slots) +=
         static_cast<double>(it->info().slots);
   }
-  for (const std::string& region : regions) {
-    const auto peers = peer_loads_.find({service, region});
-    if (peers == peer_loads_.end()) continue;
-    (region == settings_.region ? out.home_load : out.away_load) +=
-        peers->second;
-  }
   out.regions = regions.size();
   cached = {now, out};
   return out;
@@ -283,7 +280,6 @@
 }
 
 void Placement::SetPeerLoads(const RegionLoads& loads) {
-  peer_loads_ = loads;
   std::map<ServiceRegion, double> slots;
   for (const auto& [id, it] : board_->all()) {
     slots[{it->info().service, it->info().region}] +=
@@ -291,9 +287,9 @@
   }
   for (const auto& [id, it] : board_->all()) {
     const ServiceRegion key{it->info().service, it->info().region};
-    const auto load = peer_loads_.find(key);
+    const auto load = loads.find(key);
     const double part = static_cast<double>(it->info().slots) / slots[key];
-    it->set_mean_others(load == peer_loads_.end() ? 0 : load->second * part);
+    it->set_mean_others(load == loads.end() ? 0 : load->second * part);
   }
 }
 
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -167,7 +167,6 @@
     Loads loads;
   };
   std::map<std::string, CachedLoads> loads_;
-  RegionLoads peer_loads_;
   RegionSplit split_;
   std::map<std::string, double> answer_bytes_;  // mean by service
   // When each object of a service was asked for last.
--- /dev/null
+++ b/tests/gateway/data_path_test.cc
@@ -0,0 +1,435 @@
+#include <doctest/doctest.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/json_reader.h"
+#include "gateway/forwarder.h"
+#include "platform/settings.h"
+
+namespace rwf {
+namespace {
+
+constexpr Duration kLongest = std::chrono::seconds(4);
+
+// An instance that answers each connection with given bytes, on loopback.
+class ScriptedInstance {
+ public:
+  // Returns the bytes to send for what has been received, or nothing to wait.
+  using Script = std::function<std::string(const std::string& received)>;
+
+  ScriptedInstance(EventLoop* loop, Script script)
+      : script_(std::move(script)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener_ =
+        evconnlistener_new_bind(loop->base(), &ScriptedInstance::Accept, this,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    socklen_t n = sizeof(to);
+    getsockname(evconnlistener_get_fd(listener_),
+                reinterpret_cast<sockaddr*>(&to), &n);
+    port = ntohs(to.sin_port);
+    base_ = loop->base();
+  }
+  ~ScriptedInstance() {
+    evconnlistener_free(listener_);
+    for (const auto& [bev, text] : received_) bufferevent_free(bev);
+  }
+
+  uint16_t port = 0;
+  int requests = 0;
+  int closed = 0;
+  std::string last;  // request received last
+
+ private:
+  static void Accept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                     void* arg) {
+    auto* self = static_cast<ScriptedInstance*>(arg);
+    bufferevent* bev =
+        bufferevent_socket_new(self->base_, fd, BEV_OPT_CLOSE_ON_FREE);
+    self->received_[bev] = "";
+    bufferevent_setcb(bev, &ScriptedInstance::Read, nullptr,
+                      &ScriptedInstance::Event, self);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+  }
+  static void Read(bufferevent* bev, void* arg) {
+    auto* self = static_cast<ScriptedInstance*>(arg);
+    std::string& text = self->received_[bev];
+    evbuffer* buf = bufferevent_get_input(bev);
+    std::string more(evbuffer_get_length(buf), '\0');
+    evbuffer_remove(buf, more.data(), more.size());
+    text += more;
+    if (text.find("\r\n\r\n") == std::string::npos) return;
+    ++self->requests;
+    self->last = text;
+    std::string answer = self->script_(text);
+    text.clear();
+    const bool closes = answer.starts_with("CLOSE");
+    if (closes) answer.erase(0, 5);
+    bufferevent_write(bev, answer.data(), answer.size());
+    if (!closes) return;
+    // What was written goes out first.
+    bufferevent_flush(bev, EV_WRITE, BEV_FLUSH);
+    const int fd = bufferevent_getfd(bev);
+    [[maybe_unused]] const ssize_t n = write(fd, answer.data(), answer.size());
+    evbuffer_drain(bufferevent_get_output(bev),
+                   evbuffer_get_length(bufferevent_get_output(bev)));
+    self->received_.erase(bev);
+    bufferevent_free(bev);
+  }
+  static void Event(bufferevent* bev, short what, void* arg) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+    auto* self = static_cast<ScriptedInstance*>(arg);
+    ++self->closed;
+    self->received_.erase(bev);
+    bufferevent_free(bev);
+  }
+
+  Script script_;
+  event_base* base_ = nullptr;
+  evconnlistener* listener_ = nullptr;
+  std::map<bufferevent*, std::string> received_;
+};
+
+std::string IdOf(const std::string& request) {
+  const size_t at = request.find("X-Request-Id: ") + 14;
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+std::string Whole(const std::string& request, int status = 200,
+                  const std::string& body = "done") {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nX-Request-Id: " + IdOf(request) +
+         "\r\nX-Server-Stamp: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Shed(const std::string& request) {
+  return "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+         IdOf(request) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// The data path of one VM with two scripted instances and one caller.
+class DataPathFixture {
+ protected:
+  DataPathFixture() {
+    TrafficWorkspace workspace;
+    workspace.name = "w";
+    workspace.keys = {Sha256("key")};
+    std::vector<TrafficRoute> routes;
+    for (const bool idempotent : {true, false}) {
+      TrafficRoute route;
+      route.name = idempotent ? "safe" : "once";
+      route.host = "h";
+      route.prefix = "/" + route.name + "/";
+      route.backends = {{"s", 1}};
+      route.idempotent = idempotent;
+      route.objective = std::chrono::milliseconds(600);
+      route.timeout = std::chrono::milliseconds(900);
+      route.max_attempts = 2;
+      routes.push_back(route);
+    }
+    ForwarderParts parts;
+    parts.loop = &loop;
+    parts.dialect = &dialect;
+    parts.board = &board;
+    parts.placement = &placement;
+    parts.limiter = &limiter;
+    parts.budget = &budget;
+    parts.pool = &pool;
+    parts.freshness = &freshness;
+    parts.log = &log;
+    parts.metrics = &metrics;
+    parts.front = &front;
+    parts.home_users = [] { return size_t{1}; };
+    forwarder = std::make_unique<Forwarder>(parts);
+    forwarder->SetCatalog(std::make_shared<const Catalog>(
+        1, routes, std::vector<TrafficWorkspace>{workspace},
+        std::vector<TrafficService>{}, CallerLimits{}));
+    limiter.SetLimits({workspace}, EventLoop::Now());
+    budget.SetBounds({1, 100, std::chrono::seconds(10)});
+    freshness.OnConfirmed(BootTimeNow());
+    REQUIRE(front.Listen("127.0.0.1", kFrontPort).has_value());
+  }
+
+  void AddInstance(const std::string& id, uint16_t port) {
+    InstanceInfo info;
+    info.id = id;
+    info.service = "s";
+    info.address = "127.0.0.1";
+    info.port = port;
+    info.zone = "z";
+    info.region = "r";
+    info.slots = 6;
+    board.Put(info, EventLoop::Now());
+  }
+
+  // Sends one request on a connection of its own and returns the answer.
+  ReceivedMessage Ask(const std::string& text, bool leaves_early = false) {
+    MessageParser parser(HttpSide::kResponse, {});
+    bufferevent* bev =
+        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(kFrontPort);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    struct Caller {
+      MessageParser* parser;
+      EventLoop* loop;
+    } caller{&parser, &loop};
+    bufferevent_setcb(
+        bev,
+        [](bufferevent* b, void* arg) {
+          auto* it = static_cast<Caller*>(arg);
+          evbuffer* buf = bufferevent_get_input(b);
+          std::string bytes(evbuffer_get_length(buf), '\0');
+          evbuffer_remove(buf, bytes.data(), bytes.size());
+          it->parser->Feed(bytes);
+          if (it->parser->state() == ParseState::kComplete) it->loop->Stop();
+        },
+        nullptr,
+        [](bufferevent*, short what, void* arg) {
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+            static_cast<Caller*>(arg)->loop->Stop();
+        },
+        &caller);
+    bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&to),
+                               sizeof(to));
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    bufferevent_write(bev, text.data(), text.size());
+    const Duration longest =
+        leaves_early ? std::chrono::milliseconds(150) : kLongest;
+    const auto timer = loop.After(longest, [this] { loop.Stop(); });
+    loop.Run();
+    bufferevent_free(bev);
+    return parser.Take();
+  }
+
+  static std::string Text(const std::string& path, const std::string& id,
+                          const std::string& extra = "") {
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key\r\n" + extra +
+           "\r\n";
+  }
+
+  static constexpr uint16_t kFrontPort = 18473;
+
+  EventLoop loop;
+  Dialect dialect = platform::PlatformDialect();
+  InstanceBoard board;
+  Placement placement{PlacementSettings{"r"}, &board};
+  FleetLimiter limiter;
+  SendBudget budget;
+  UpstreamPool pool{&loop};
+  KeyFreshness freshness{std::chrono::seconds(60)};
+  int null_fd = open("/dev/null", O_WRONLY);
+  EventLog log{&loop, null_fd, "vm"};
+  Metrics metrics;
+  FrontServer front{&loop,
+                    {[this](CallerId id, ReceivedMessage it) {
+                       forwarder->Handle(id, std::move(it));
+                     },
+                     [this](CallerId id) { forwarder->OnCallerLeft(id); }}};
+  std::unique_ptr<Forwarder> forwarder;
+};
+
+// Guards against keys reaching an upstream and callers naming their workspace.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Request, answered, carries workspace and no key upstream") {
+  ScriptedInstance instance(&loop,
+                            [](const std::string& it) { return Whole(it); });
+  AddInstance("i1", instance.port);
+  const ReceivedMessage answer =
+      Ask(Text("/safe/x?q=1", "id1", "X-Tenant: other\r\n"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "done");
+  CHECK(instance.last.starts_with("GET /safe/x?q=1 HTTP/1.1\r\n"));
+  CHECK(instance.last.find("X-Tenant: w\r\n") != std::string::npos);
+  CHECK(instance.last.find("other") == std::string::npos);
+  CHECK(instance.last.find("Bearer") == std::string::npos);
+  CHECK(instance.last.find("X-Expect-Instance: i1\r\n") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Request, not allowed, is refused by reason") {
+  ScriptedInstance instance(&loop,
+                            [](const std::string& it) { return Whole(it); });
+  AddInstance("i1", instance.port);
+  CHECK(Ask("GET /none/ HTTP/1.1\r\nHost: h\r\n\r\n").status == 404);
+  CHECK(Ask("GET /safe/ HTTP/1.1\r\nHost: h\r\n\r\n").status == 401);
+  CHECK(Ask("GET /safe/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            "wrong\r\n\r\n")
+            .status == 401);
+  CHECK(Ask("nonsense\r\n\r\n").status == 400);
+  CHECK(instance.requests == 0);
+}
+
+// Guards against withdrawn keys: without confirmation nothing with a key runs.
+TEST_CASE("Request, keys not confirmed, is refused as not run") {
+  class StaleFixture : public DataPathFixture {
+   public:
+    void Check() {
+      ScriptedInstance instance(
+          &loop, [](const std::string& it) { return Whole(it); });
+      AddInstance("i1", instance.port);
+      freshness = KeyFreshness(std::chrono::seconds(1));
+      const ReceivedMessage answer = Ask(Text("/safe/", "id"));
+      CHECK(answer.status == 503);
+      CHECK(answer.headers.Has("Retry-After"));
+      CHECK(instance.requests == 0);
+    }
+  };
+  StaleFixture().Check();
+}
+
+// What an instance answers, and what the caller gets, for a request that may be
+// repeated and for one that must run once. Guards against second runs, false
+// promises and broken answers that look whole.
+TEST_CASE("Instance, each kind of failure, ends as it must") {
+  struct Row {
+    const char* name;
+    ScriptedInstance::Script script;
+    int safe_status;  // with a sound second instance
+    int once_status;
+    bool once_may_repeat;
+  };
+  const std::vector<Row> rows = {
+      {"sheds", Shed, 200, 200, true},
+      {"another instance",
+       [](const std::string&) {
+         return std::string(
+             "HTTP/1.1 421 X\r\nX-Instance-Id: z\r\nContent-Length: 0\r\n\r\n");
+       },
+       200, 200, true},
+      {"closes without an answer",
+       [](const std::string&) { return std::string("CLOSE"); }, 200, 502,
+       false},
+      {"truncated",
+       [](const std::string& it) {
+         return "CLOSE" + Whole(it).substr(0, Whole(it).size() - 2);
+       },
+       200, 502, false},
+      {"no HTTP",
+       [](const std::string&) { return std::string("garbage\r\n\r\n"); }, 200,
+       502, false},
+      {"success without a receipt",
+       [](const std::string& it) {
+         return "HTTP/1.1 200 X\r\nX-Request-Id: " + IdOf(it) +
+                "\r\nContent-Length: 0\r\n\r\n";
+       },
+       200, 502, false},
+      {"own failure",
+       [](const std::string& it) { return Whole(it, 500, "no"); }, 200, 500,
+       false},
+      {"503 without proof",
+       [](const std::string& it) { return Whole(it, 503, "no"); }, 200, 502,
+       false},
+  };
+  for (const Row& row : rows) {
+    for (const bool is_safe : {true, false}) {
+      CAPTURE(row.name);
+      CAPTURE(is_safe);
+      class Fixture : public DataPathFixture {
+       public:
+        void Check(const Row& row, bool is_safe) {
+          int bad_requests = 0;
+          int good_requests = 0;
+          ScriptedInstance bad(&loop, [&](const std::string& it) {
+            ++bad_requests;
+            return row.script(it);
+          });
+          ScriptedInstance good(&loop, [&](const std::string& it) {
+            ++good_requests;
+            return Whole(it);
+          });
+          AddInstance("bad", bad.port);
+          // The second one becomes known only to the second attempt's choice:
+          // it is busy enough not to be the first.
+          AddInstance("good", good.port);
+          board.Find("good")->OnReport(5, 0, EventLoop::Now());
+          const ReceivedMessage answer =
+              Ask(Text(is_safe ? "/safe/" : "/once/", "id"));
+          REQUIRE(bad_requests == 1);
+          CHECK(answer.status == (is_safe ? row.safe_status : row.once_status));
+          const bool may_repeat = is_safe || row.once_may_repeat;
+          CHECK(good_requests == (may_repeat ? 1 : 0));
+        }
+      };
+      Fixture().Check(row, is_safe);
+    }
+  }
+}
+
+// Guards against a late second answer being taken for the next request's.
+TEST_CASE_FIXTURE(
+    DataPathFixture,
+    "Instance, answer to an earlier request first, is passed over") {
+  ScriptedInstance instance(&loop, [](const std::string& it) {
+    return "HTTP/1.1 200 X\r\nX-Request-Id: earlier\r\nX-Server-Stamp: "
+           "s\r\nContent-Length: 5\r\n\r\nother" +
+           Whole(it);
+  });
+  AddInstance("i1", instance.port);
+  const ReceivedMessage answer = Ask(Text("/once/", "id"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "done");
+  CHECK(pool.counters().foreign_answers == 1);
+  CHECK(pool.connections() == 0);
+}
+
+// Guards against callers waiting past their route's time, and runs going on.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Instance, silent, is given up at the route's time") {
+  ScriptedInstance instance(&loop, [](const std::string&) { return ""; });
+  AddInstance("i1", instance.port);
+  const TimePoint start = EventLoop::Now();
+  CHECK(Ask(Text("/once/", "id")).status == 504);
+  const Duration took = EventLoop::Now() - start;
+  CHECK(took >= std::chrono::milliseconds(850));
+  CHECK(took < std::chrono::milliseconds(1400));
+  CHECK(forwarder->open() == 0);
+}
+
+// Guards against work for callers that have left.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Caller, leaves early, ends a run that may be repeated") {
+  ScriptedInstance instance(&loop, [](const std::string&) { return ""; });
+  AddInstance("i1", instance.port);
+  Ask(Text("/safe/", "id"), /*leaves_early=*/true);
+  const auto timer =
+      loop.After(std::chrono::milliseconds(200), [this] { loop.Stop(); });
+  loop.Run();
+  CHECK(instance.requests == 1);
+  CHECK(instance.closed == 1);
+  CHECK(forwarder->open() == 0);
+}
+
+// Guards against blocking on a reader of the log that does not read.
+TEST_CASE("Log, pipe that is full, drops lines and goes on") {
+  EventLoop loop;
+  int fds[2];
+  REQUIRE(pipe(fds) == 0);
+  EventLog log(&loop, fds[1], "vm");
+  const std::string text(1000, 'x');
+  for (int n = 0; n < 2000; ++n) {
+    log.State("test").Text("text", text);
+    log.Flush();
+  }
+  CHECK(log.dropped() > 0);
+  CHECK(log.lines() + log.dropped() == 2000);
+  close(fds[0]);
+}
+
+}  // namespace
+}  // namespace rwf
--- /dev/null
+++ b/tests/platform/decoder_test.cc
@@ -0,0 +1,181 @@
+#include "platform/decoder.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "base/json_reader.h"
+#include "platform/settings.h"
+
+namespace rwf::platform {
+namespace {
+
+constexpr const char* kConfig = R"({"version":7,
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15.5},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"rate_per_s":145,"burst":12,"allowed_regions":["delta"]}],
+ "base_version":5,
+ "listeners":[{"host":"h.example","rules":[
+  {"name":"r1","kind":"safe","target_latency_s":0.6,"priority":2,"public":false,"sticky":true,"match":{"prefix":"/a/"},
+   "action":{"backends":[{"service":"s","weight":90},{"service":"u","weight":10}],"timeout_s":2.5,"max_attempts":2,"allowed_regions":[]}},
+  {"name":"r2","kind":"unsafe","match":{"prefix":"/b/"},"action":{"service":"s"}},
+  {"name":"r3","kind":"download","public":true,"match":{"prefix":"/c/"},"action":{"service":"u"}}]}],
+ "clusters":[{"name":"s","health_path":"/healthz","max_conns":390,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":5.3}]})";
+
+constexpr const char* kEntry =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"delta-north","version":"v1","slots":6,"state":"ready","cold_remaining_s":1.5,"sequence":4,"born":1700000000123})";
+
+class DecoderFixture {
+ protected:
+  StoreChange Decode(const std::string& key, const std::string& value) const {
+    return decoder.Decode({key, value, 1, false});
+  }
+  Decoder decoder{{{"delta-north", "delta"}}};
+};
+
+TEST_CASE_FIXTURE(DecoderFixture, "Configuration, whole, becomes a catalog") {
+  const StoreChange change = Decode("op/config", kConfig);
+  const auto* held = std::get_if<std::shared_ptr<const Catalog>>(&change);
+  REQUIRE(held != nullptr);
+  const Catalog& catalog = **held;
+  CHECK(catalog.version() == 7);
+  CHECK(catalog.limits().idle_timeout == std::chrono::milliseconds(15'500));
+  CHECK(catalog.limits().max_body_bytes == 1000);
+  const TrafficRoute* r1 = catalog.FindRoute("h.example", "/a/x");
+  REQUIRE(r1 != nullptr);
+  CHECK(r1->idempotent);
+  CHECK(r1->backends == std::vector<Backend>{{"s", 90}, {"u", 10}});
+  CHECK(r1->timeout == std::chrono::milliseconds(2500));
+  CHECK(r1->objective == std::chrono::milliseconds(600));
+  CHECK(r1->max_attempts == 2);
+  CHECK_FALSE(catalog.FindRoute("h.example", "/b/")->idempotent);
+  CHECK(catalog.FindRoute("h.example", "/c/")->idempotent);
+  CHECK(catalog.FindRoute("h.example", "/c/")->open);
+  const TrafficWorkspace* workspace = catalog.FindByKey(Sha256("k2"));
+  REQUIRE(workspace != nullptr);
+  CHECK(workspace->rate == 145);
+  CHECK(workspace->allowed_regions == std::vector<std::string>{"delta"});
+  CHECK(catalog.FindByKey(Sha256("k3")) == nullptr);
+  CHECK(catalog.FindService("s")->cold_rate == doctest::Approx(5.3));
+}
+
+// Guards against a configuration that can't be read replacing a good one.
+TEST_CASE_FIXTURE(DecoderFixture, "Configuration, malformed, is unusable") {
+  for (
+      const char* text :
+      {"", "{", "[]", R"({"version":"x","listeners":[],"clusters":[]})",
+       R"({"version":1,"clusters":[]})",
+       R"({"version":1,"clusters":[],"listeners":[{"host":"h","rules":[{"name":"r"}]}]})"}) {
+    CAPTURE(text);
+    CHECK(std::holds_alternative<UnusableEntry>(Decode("op/config", text)));
+  }
+}
+
+TEST_CASE_FIXTURE(DecoderFixture, "Instance entry, whole, is decoded") {
+  const StoreChange change = Decode("servers/i-1", kEntry);
+  const auto* entry = std::get_if<InstanceEntry>(&change);
+  REQUIRE(entry != nullptr);
+  CHECK(entry->info.id == "i-1");
+  CHECK(entry->info.address == "10.128.0.9");
+  CHECK(entry->info.port == 8080);
+  CHECK(entry->info.region == "delta");
+  CHECK(entry->info.born_ms == 1'700'000'000'123);
+  CHECK_FALSE(entry->info.is_draining);
+  CHECK(entry->cold_left == std::chrono::milliseconds(1500));
+  CHECK(entry->sequence == 4);
+}
+
+// Guards against entries of another writer naming an instance to use.
+TEST_CASE_FIXTURE(DecoderFixture,
+                  "Instance entry, damaged, names no instance") {
+  const Json whole = Json::parse(kEntry);
+  std::vector<std::string> texts = {"", "null", "\x01\x02", "[1]"};
+  for (const char* field : {"service", "address", "zone", "slots", "state",
+                            "cold_remaining_s", "sequence"}) {
+    Json missing = whole;
+    missing.erase(field);
+    texts.push_back(missing.dump());
+    Json wrong = whole;
+    wrong[field] = Json::object();
+    texts.push_back(wrong.dump());
+  }
+  const std::vector<std::pair<const char*, Json>> odd_values = {
+      {"state", "sleeping"},
+      {"zone", "elsewhere"},
+      {"slots", 0},
+      {"slots", 2.5},
+      {"address", "10.0.0.1"},
+      {"address", "10.0.0.1:0"},
+      {"address", "10.0.0.1:99999"}};
+  for (const auto& [field, value] : odd_values) {
+    Json odd = whole;
+    odd[field] = value;
+    texts.push_back(odd.dump());
+  }
+  for (const std::string& text : texts) {
+    CAPTURE(text);
+    const StoreChange change = Decode("servers/i-1", text);
+    REQUIRE(std::holds_alternative<UnusableEntry>(change));
+    CHECK(std::get<UnusableEntry>(change).instance == "i-1");
+    CHECK_FALSE(std::get<UnusableEntry>(change).reason.empty());
+  }
+}
+
+TEST_CASE_FIXTURE(DecoderFixture, "Keys, of other kinds, are told apart") {
+  CHECK(std::get<EvacuatedZone>(Decode("op/evacuate/z", "{}")).zone == "z");
+  CHECK(std::holds_alternative<UnrelatedEntry>(Decode("other", "x")));
+  CHECK(
+      std::get<EndedEvacuation>(decoder.DecodeRemoval("op/evacuate/z")).zone ==
+      "z");
+  CHECK(std::get<RemovedInstance>(decoder.DecodeRemoval("servers/i")).id ==
+        "i");
+  CHECK(std::holds_alternative<UnrelatedEntry>(
+      decoder.DecodeRemoval("op/config")));
+}
+
+constexpr const char* kSettings = R"({"vm":"v1","zone":"a","region":"r",
+ "listen":{"callers":"10.0.0.1:80","readiness":"10.0.0.1:81","lookups":"10.0.0.1:82"},
+ "first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
+ "bounds":{"key_withdrawal_s":5,"stop_s":6,"retry_window_s":10,"retry_ratio":0.2,"retry_extra":64,"limit_tolerance_ratio":0.1,"limit_tolerance_requests":20,"limit_window_s":5,"max_shift":0.15,"lookup_ttl_s":5}})";
+
+TEST_CASE("Settings, whole, are read") {
+  const Result<Settings> settings = ParseSettings(kSettings, "file", 9);
+  REQUIRE(settings.has_value());
+  CHECK(settings->gateway.self.vm == "v1");
+  CHECK(settings->gateway.self.front_port == 80);
+  CHECK(settings->gateway.self.peer_port == 7560);
+  CHECK(settings->endpoints.metrics_port == 7561);
+  CHECK(settings->store.port == 8382);
+  CHECK(settings->gateway.revoke_within == std::chrono::seconds(5));
+}
+
+// Guards against a process that starts with settings it did not understand.
+TEST_CASE("Settings, each member missing, wrong or unknown, are refused") {
+  const Json whole = Json::parse(kSettings);
+  for (const auto& [name, value] : whole.items()) {
+    CAPTURE(name);
+    Json missing = whole;
+    missing.erase(name);
+    const bool is_optional = name == "region_of_zone";
+    CHECK(ParseSettings(missing.dump(), "file", 0).has_value() == is_optional);
+    Json wrong = whole;
+    wrong[name] = Json::array({1});
+    CHECK_FALSE(ParseSettings(wrong.dump(), "file", 0).has_value());
+  }
+  for (const auto& [name, value] : whole["bounds"].items()) {
+    CAPTURE(name);
+    Json wrong = whole;
+    wrong["bounds"][name] = -1;
+    const Result<Settings> settings = ParseSettings(wrong.dump(), "file", 0);
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().message.find("/bounds/" + name) !=
+          std::string::npos);
+  }
+  Json unknown = whole;
+  unknown["colour"] = 1;
+  const Result<Settings> settings = ParseSettings(unknown.dump(), "file", 0);
+  REQUIRE_FALSE(settings.has_value());
+  CHECK(settings.error().message.find("/colour") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace rwf::platform
--- a/tests/traffic/fleet_limiter_test.cc
+++ b/tests/traffic/fleet_limiter_test.cc
@@ -38,6 +38,7 @@
 
   void Restart(size_t n) {
     vms_[n] = std::make_unique<FleetLimiter>();
+    vms_[n]->SetTolerance({0.1, 20, kWindow});
     vms_[n]->SetLimits({Workspace(rate_, burst_)}, now_);
     std::vector<std::string> peers;
     for (const std::string& it : names_) {
