--- a/bench/traffic_bench.cc
+++ b/bench/traffic_bench.cc
@@ -12,7 +12,7 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
 // One choice among `instances` of three regions.
-void BM_Choose(benchmark::State& state) {
+void BmChoose(benchmark::State& state) {
   InstanceBoard board;
   const auto instances = static_cast<int>(state.range(0));
   for (int n = 0; n < instances; ++n) {
@@ -47,10 +47,10 @@
     benchmark::DoNotOptimize(choice);
   }
 }
-BENCHMARK(BM_Choose)->Arg(16)->Arg(152)->Arg(324);
+BENCHMARK(BmChoose)->Arg(16)->Arg(152)->Arg(324);
 
 // One admission with 24 peers that report.
-void BM_Admit(benchmark::State& state) {
+void BmAdmit(benchmark::State& state) {
   FleetLimiter limiter;
   TrafficWorkspace workspace;
   workspace.name = "w";
@@ -59,6 +59,7 @@
   TimePoint now = kStart;
   limiter.SetLimits({workspace}, now);
   std::vector<std::string> peers;
+  peers.reserve(24);
   for (int n = 0; n < 24; ++n) peers.push_back("vm" + std::to_string(n));
   limiter.SetPeers(peers, now);
   for (const std::string& it : peers)
@@ -68,7 +69,7 @@
     benchmark::DoNotOptimize(limiter.TryAdmit("w", now));
   }
 }
-BENCHMARK(BM_Admit);
+BENCHMARK(BmAdmit);
 
 }  // namespace
 }  // namespace rwf
