Test the store client against a stand-in; pass the linter

Cause: the store client had no contract test, and the linter found parameters copied for nothing and lambdas that capture structured bindings. Ruled out: an exchange held by evhttp as the stand-in for a call without an answer (evhttp asserts when it is answered after its connection has gone); a listener that never answers is used. Change: tests/platform/store_client_test.cc (each status for reads and writes, watches, leases, silence); const references.

--- a/src/gateway/event_log.cc
+++ b/src/gateway/event_log.cc
@@ -44,7 +44,7 @@
 EventLog::Line::~Line() {
   if (is_dropped_) return;
   text_.append("}\n");
-  log_->Append(std::move(text_));
+  log_->Append(text_);
 }
 
 EventLog::Line& EventLog::Line::Text(std::string_view name,
@@ -100,7 +100,7 @@
   return line;
 }
 
-void EventLog::Append(std::string line) {
+void EventLog::Append(std::string_view line) {
   if (held_.size() + line.size() > kMaxHeldBytes) {
     ++dropped_;
     return;
--- a/src/gateway/event_log.h
+++ b/src/gateway/event_log.h
@@ -59,7 +59,7 @@
 
  private:
   friend class Line;
-  void Append(std::string line);
+  void Append(std::string_view line);
 
   int fd_;
   std::string vm_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -343,10 +343,11 @@
       .Flag("kept_connection", result.was_reused)
       .Millis("took_ms", now - attempt.at)
       .Real("load", state == nullptr ? -1 : state->LoadAt(now));
-  AfterFailure(it, end, std::move(result));
+  AfterFailure(it, end, result);
 }
 
-void Forwarder::AfterFailure(Exchange* it, AttemptEnd end, SendResult result) {
+void Forwarder::AfterFailure(Exchange* it, AttemptEnd end,
+                             const SendResult& result) {
   // Another attempt is still under way.
   if (!it->attempts.empty()) return;
   if (it->has_left) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -131,7 +131,7 @@
   AttemptEnd Judge(const Exchange& it, const SendResult& result) const;
   void NoteReport(const std::string& instance, const ReceivedMessage& answer,
                   TimePoint now);
-  void AfterFailure(Exchange* it, AttemptEnd end, SendResult result);
+  void AfterFailure(Exchange* it, AttemptEnd end, const SendResult& result);
   void OnDeadline(CallerId caller);
   void OnHedge(CallerId caller);
   void ArmHedge(Exchange* it, const PlacementChoice& choice);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,7 +95,7 @@
 Gateway::~Gateway() = default;
 
 Result<void> Gateway::Start() {
-  const Result<void> listening =
+  Result<void> listening =
       front_->Listen(settings_.self.address, settings_.self.front_port);
   if (!listening) return listening;
   log_->State("start")
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -64,7 +64,7 @@
 }
 
 const http_parser_settings& MessageParser::Settings() {
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings it;
     http_parser_settings_init(&it);
     it.on_url = &MessageParser::HandleUrl;
@@ -75,7 +75,7 @@
     it.on_message_complete = &MessageParser::HandleComplete;
     return it;
   }();
-  return settings;
+  return kSettings;
 }
 
 size_t MessageParser::Feed(std::string_view bytes) {
@@ -231,12 +231,12 @@
     for (std::string_view it : SplitList(value)) named.push_back(it);
   }
   HttpHeaders out;
-  for (const auto& [name, value] : headers) {
-    if (IsConnectionField(name)) continue;
-    const bool is_named =
-        std::any_of(named.begin(), named.end(),
-                    [&](std::string_view it) { return EqualNoCase(it, name); });
-    if (!is_named) out.Add(name, value);
+  for (const HttpHeaders::Field& field : headers) {
+    if (IsConnectionField(field.first)) continue;
+    const bool is_named = std::any_of(
+        named.begin(), named.end(),
+        [&](std::string_view it) { return EqualNoCase(it, field.first); });
+    if (!is_named) out.Add(field.first, field.second);
   }
   return out;
 }
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -151,7 +151,8 @@
 // Guards against a process that starts with settings it did not understand.
 TEST_CASE("Settings, each member missing, wrong or unknown, are refused") {
   const Json whole = Json::parse(kSettings);
-  for (const auto& [name, value] : whole.items()) {
+  for (const auto& member : whole.items()) {
+    const std::string name = member.key();
     CAPTURE(name);
     Json missing = whole;
     missing.erase(name);
@@ -161,7 +162,8 @@
     wrong[name] = Json::array({1});
     CHECK_FALSE(ParseSettings(wrong.dump(), "file", 0).has_value());
   }
-  for (const auto& [name, value] : whole["bounds"].items()) {
+  for (const auto& member : whole["bounds"].items()) {
+    const std::string name = member.key();
     CAPTURE(name);
     Json wrong = whole;
     wrong["bounds"][name] = -1;
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,190 @@
+#include "platform/store_client.h"
+
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+
+namespace rwf::platform {
+namespace {
+
+constexpr Duration kLongest = std::chrono::seconds(3);
+
+// Stands in for the platform's store: answers calls in order with what the test
+// has laid out, and keeps what was asked.
+class StoreClientFixture {
+ protected:
+  StoreClientFixture() {
+    const Result<uint16_t> port = server.Listen("127.0.0.1", 0);
+    REQUIRE(port.has_value());
+    client =
+        std::make_unique<StoreClient>(&loop, HttpTarget{"127.0.0.1", *port});
+  }
+
+  // Runs the loop until the call has ended, and returns its result.
+  template <typename T, typename Start>
+  Result<T> Wait(Start start) {
+    Result<T> out = Fail(StoreErrc::kUnavailable, "did not end");
+    start([&](Result<T> result) {
+      out = std::move(result);
+      loop.Stop();
+    });
+    const auto timer = loop.After(kLongest, [this] { loop.Stop(); });
+    loop.Run();
+    return out;
+  }
+  Result<ItemPage> Range(Duration timeout = std::chrono::seconds(1)) {
+    return Wait<ItemPage>([&](auto done) {
+      client->Range("servers/", "servers/a b", timeout, done);
+    });
+  }
+  Result<uint64_t> Write(const ItemWrite& write) {
+    return Wait<uint64_t>([&](auto done) { client->Write(write, done); });
+  }
+
+  EventLoop loop;
+  std::deque<HttpResponse> answers;
+  std::vector<HttpRequest> asked;
+  HttpServer server{&loop, {}, [this](const std::shared_ptr<HttpExchange>& it) {
+                      asked.push_back(it->request());
+                      REQUIRE_FALSE(answers.empty());
+                      it->Respond(answers.front());
+                      answers.pop_front();
+                    }};
+  std::unique_ptr<StoreClient> client;
+};
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Range, page of items, is decoded") {
+  answers.push_back(JsonResponse(
+      200,
+      R"({"items":[{"key":"k","value":"bm9kZS0x","revision":4,"create_rev":1,"lease":0},
+      {"key":"odd","value":"not base64!","revision":5}],"has_more":true,"current_rev":9})"));
+  const Result<ItemPage> page = Range();
+  REQUIRE(page.has_value());
+  CHECK(page->revision == 9);
+  CHECK(page->has_more);
+  REQUIRE(page->items.size() == 2);
+  CHECK(page->items[0] == StoreItem{"k", "node-1", 4, false});
+  CHECK(page->items[1].value.empty());
+  CHECK(asked[0].path == "/kv-range");
+  CHECK(asked[0].QueryValue("prefix") == "servers/");
+  CHECK(asked[0].QueryValue("after") == "servers/a b");
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "Watch, events, tell writes and removals") {
+  answers.push_back(JsonResponse(
+      200,
+      R"({"events":[{"key":"a","value":"YQ==","revision":5,"lease":0},{"key":"b","revision":6,"deleted":true}],"current_rev":6})"));
+  const Result<ChangeSet> changes = Wait<ChangeSet>([&](auto done) {
+    client->Watch("", 4, std::chrono::milliseconds(1900), done);
+  });
+  REQUIRE(changes.has_value());
+  CHECK(changes->events ==
+        std::vector<StoreItem>{{"a", "a", 5, false}, {"b", "", 6, true}});
+  CHECK(changes->revision == 6);
+  CHECK(asked[0].QueryValue("after") == "4");
+  CHECK(asked[0].QueryValue("wait_ms") == "1900");
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Write, under a condition, names it") {
+  answers.push_back(JsonResponse(200, R"({"revision":12})"));
+  const Result<uint64_t> revision = Write({"k", "node-1", 77, true, 0});
+  REQUIRE(revision.has_value());
+  CHECK(*revision == 12);
+  CHECK(
+      Json::parse(asked[0].body) ==
+      Json::parse(
+          R"({"precondition":[{"key":"k","revision":0}],"writes":[{"key":"k","value":"bm9kZS0x","lease":77}],"deletes":[]})"));
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Lease, granted, kept and ended") {
+  answers.push_back(JsonResponse(200, R"({"lease":77120,"ttl_s_time":8})"));
+  answers.push_back(JsonResponse(200, R"({"ttl_s_time":8})"));
+  answers.push_back(JsonResponse(200, "{}"));
+  const Result<GrantedLease> lease = Wait<GrantedLease>(
+      [&](auto done) { client->Grant(std::chrono::seconds(8), done); });
+  REQUIRE(lease.has_value());
+  CHECK(lease->id == 77120);
+  CHECK(lease->ttl == std::chrono::seconds(8));
+  CHECK(Wait<bool>([&](auto done) { client->Keep(77120, done); }).has_value());
+  CHECK(
+      Wait<bool>([&](auto done) { client->Release(77120, done); }).has_value());
+  CHECK(asked[1].path == "/kv-keep/77120");
+  CHECK(asked[2].path == "/kv-lease-end/77120");
+}
+
+// Guards against a lost answer being taken for a refusal, or the other way
+// round: a write that was refused had no effect, one without an answer may
+// have.
+TEST_CASE_FIXTURE(StoreClientFixture, "Call, each refusal, has its own error") {
+  struct Row {
+    int status;
+    const char* body;
+    StoreErrc read;
+    StoreErrc write;
+  };
+  const std::vector<Row> rows = {
+      {404, "{}", StoreErrc::kNotHeld, StoreErrc::kNotHeld},
+      {410, "{}", StoreErrc::kHistoryGone, StoreErrc::kHistoryGone},
+      {412, R"({"items":[]})", StoreErrc::kConflict, StoreErrc::kConflict},
+      {429, "{}", StoreErrc::kThrottled, StoreErrc::kThrottled},
+      {503, "{}", StoreErrc::kUnavailable, StoreErrc::kUnavailable},
+      {500, "{}", StoreErrc::kBadAnswer, StoreErrc::kUnknownOutcome},
+      {200, "nonsense", StoreErrc::kBadAnswer, StoreErrc::kBadAnswer},
+      {200, R"({"other":1})", StoreErrc::kBadAnswer, StoreErrc::kBadAnswer},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.status);
+    answers.push_back(JsonResponse(row.status, row.body));
+    const Result<ItemPage> page = Range();
+    REQUIRE_FALSE(page.has_value());
+    CHECK(page.error().code == row.read);
+    answers.push_back(JsonResponse(row.status, row.body));
+    const Result<uint64_t> write = Write({"k", "v", 0, false, 0});
+    REQUIRE_FALSE(write.has_value());
+    CHECK(write.error().code == row.write);
+  }
+}
+
+// A listener that takes connections and never answers.
+class SilentListener {
+ public:
+  SilentListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(to);
+    bind(fd_, reinterpret_cast<sockaddr*>(&to), n);
+    listen(fd_, 8);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&to), &n);
+    port = ntohs(to.sin_port);
+  }
+  ~SilentListener() { close(fd_); }
+  uint16_t port = 0;
+
+ private:
+  int fd_;
+};
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Call, without an answer, ends in time") {
+  const SilentListener silent;
+  client = std::make_unique<StoreClient>(&loop,
+                                         HttpTarget{"127.0.0.1", silent.port});
+  const Result<ItemPage> page = Range(std::chrono::milliseconds(200));
+  REQUIRE_FALSE(page.has_value());
+  CHECK(page.error().code == StoreErrc::kUnavailable);
+  const Result<uint64_t> write = Write({"k", "v", 0, false, 0});
+  REQUIRE_FALSE(write.has_value());
+  CHECK(write.error().code == StoreErrc::kUnknownOutcome);
+}
+
+}  // namespace
+}  // namespace rwf::platform
