Pass results of sends by reference

Ruled out: moving it on, since the caller's answer is only read. Change: const references; the listener of a test checks its calls.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -202,8 +202,8 @@
   const uint64_t id = attempt.id;
   attempt.send =
       parts_.pool->Send({info.id, info.address, info.port}, std::move(request),
-                        [this, caller, id](SendResult result) {
-                          OnResult(caller, id, std::move(result));
+                        [this, caller, id](const SendResult& result) {
+                          OnResult(caller, id, result);
                         });
   it->attempts.push_back(std::move(attempt));
   if (it->route->idempotent) ArmHedge(it, choice);
@@ -291,7 +291,7 @@
 }
 
 void Forwarder::OnResult(CallerId caller, uint64_t attempt_id,
-                         SendResult result) {
+                         const SendResult& result) {
   const auto found = exchanges_.find(caller);
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -127,7 +127,7 @@
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
   std::string RequestBytes(const Exchange& it, const std::string& instance,
                            Duration left) const;
-  void OnResult(CallerId caller, uint64_t attempt, SendResult result);
+  void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
   AttemptEnd Judge(const Exchange& it, const SendResult& result) const;
   void NoteReport(const std::string& instance, const ReceivedMessage& answer,
                   TimePoint now);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -207,7 +207,8 @@
   pool->Finish(it, {SendEnd::kBroken, {}, it->was_used, has_begun}, false);
 }
 
-void UpstreamPool::Finish(Connection* it, SendResult result, bool keeps) {
+void UpstreamPool::Finish(Connection* it, const SendResult& result,
+                          bool keeps) {
   const Callback callback = std::move(it->callback);
   busy_.erase(it->send);
   it->send = 0;
@@ -222,7 +223,7 @@
   } else {
     all_.erase(it);
   }
-  callback(std::move(result));
+  callback(result);
 }
 
 void UpstreamPool::Cancel(SendId id) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -47,7 +47,7 @@
 class UpstreamPool {
  public:
   using SendId = uint64_t;
-  using Callback = std::function<void(SendResult)>;
+  using Callback = std::function<void(const SendResult&)>;
 
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
   // Kept connections are not used after this, or one second before the time
@@ -118,7 +118,7 @@
   Connection* Open(const UpstreamTarget& target);
   void Write(Connection* it);
   void ReadAnswer(Connection* it);
-  void Finish(Connection* it, SendResult result, bool keeps);
+  void Finish(Connection* it, const SendResult& result, bool keeps);
   void Drop(Connection* it);
   void DropOld();
 
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -162,8 +162,8 @@
     to.sin_family = AF_INET;
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t n = sizeof(to);
-    bind(fd_, reinterpret_cast<sockaddr*>(&to), n);
-    listen(fd_, 8);
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&to), n) == 0);
+    REQUIRE(listen(fd_, 8) == 0);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&to), &n);
     port = ntohs(to.sin_port);
   }
