Hold keys of settings by reference in a test

Cause: the linter asks for references to members' keys. Ruled out: a dangling reference; the key belongs to the document. Change: const references in two loops of the settings test.

--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -152,7 +152,7 @@
 TEST_CASE("Settings, each member missing, wrong or unknown, are refused") {
   const Json whole = Json::parse(kSettings);
   for (const auto& member : whole.items()) {
-    const std::string name = member.key();
+    const std::string& name = member.key();
     CAPTURE(name);
     Json missing = whole;
     missing.erase(name);
@@ -163,7 +163,7 @@
     CHECK_FALSE(ParseSettings(wrong.dump(), "file", 0).has_value());
   }
   for (const auto& member : whole["bounds"].items()) {
-    const std::string name = member.key();
+    const std::string& name = member.key();
     CAPTURE(name);
     Json wrong = whole;
     wrong["bounds"][name] = -1;
