Tell callers of the entry VMs whose links can carry their part

Cause: look-ups named every VM of a zone, and callers spread evenly over them.

Ruled out: processor time (0.04 of 0.24 cores in use) and the instances' queues (rank 0 and warm answered in 285 ms).

Change: entries of VMs state link and processor share, reports the requests a second; EntrySpread names as many VMs as can take an even part of the zone's demand.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -12,13 +12,21 @@
 
 // Name of the fleet in the handshake of links; VMs of one store are one fleet.
 constexpr const char* kCluster = "fleet";
+// Largest capacities accepted in an entry: far above any VM of today.
+constexpr double kMostLinkMbps = 1e7;
+constexpr double kMostCpuShare = 1024;
 
 }  // namespace
 
 std::string FormatFleetVm(const FleetVm& vm) {
-  return Json{{"zone", vm.zone},           {"region", vm.region},
-              {"address", vm.address},     {"front_port", vm.front_port},
-              {"peer_port", vm.peer_port}, {"incarnation", vm.incarnation}}
+  return Json{{"zone", vm.zone},
+              {"region", vm.region},
+              {"address", vm.address},
+              {"front_port", vm.front_port},
+              {"peer_port", vm.peer_port},
+              {"incarnation", vm.incarnation},
+              {"link_mbps", vm.capacity.link_mbps},
+              {"cpu_share", vm.capacity.cpu_share}}
       .dump();
 }
 
@@ -37,6 +45,8 @@
   out.peer_port = static_cast<uint16_t>(reader.Integer("peer_port", 1, 65535));
   out.incarnation =
       static_cast<uint64_t>(reader.Integer("incarnation", 0, INT64_MAX));
+  out.capacity.link_mbps = reader.Number("link_mbps", 0, kMostLinkMbps, 0);
+  out.capacity.cpu_share = reader.Number("cpu_share", 0, kMostCpuShare, 0);
   if (!problems.empty())
     return Fail(JsonErrc::kSchema, FormatProblems(problems));
   return out;
@@ -158,6 +168,7 @@
   report.keys_fresh = keys_fresh_;
   report.catalog_version = catalog_version_;
   report.store_contact_ms = static_cast<uint64_t>(ToMillis(store_contact_));
+  report.requests_per_s = static_cast<float>(requests_per_s_);
   const bool is_full = ++partial_reports_ >= kReportsPerFull;
   if (is_full) partial_reports_ = 0;
   for (const WorkspaceUsage& it : limiter_->Report(is_full, now)) {
@@ -198,6 +209,7 @@
   member.leaving = report->leaving;
   member.keys_fresh = report->keys_fresh;
   member.store_contact = std::chrono::milliseconds(report->store_contact_ms);
+  member.requests_per_s = report->requests_per_s;
   member.shares.clear();
   for (const auto& share : report->shares)
     member.shares[share->service] = share->away;
@@ -222,19 +234,27 @@
 std::vector<std::string> Fleet::AddressesFor(const std::string& zone,
                                              const std::string& region) const {
   const TimePoint now = EventLoop::Now();
-  std::vector<FleetVm> usable;
+  std::vector<std::pair<const FleetVm*, double>> usable;  // and its requests/s
   for (const auto& [vm, it] : vms_) {
-    if (IsUsable(it, now)) usable.push_back(it.info);
+    if (IsUsable(it, now)) usable.emplace_back(&it.info, it.requests_per_s);
   }
   // This VM is left out only where others can do better.
   const bool is_usable = ready_ && !leaving_ && keys_fresh_;
-  if (is_usable || usable.empty()) usable.push_back(self_);
+  if (is_usable || usable.empty()) usable.emplace_back(&self_, requests_per_s_);
   const auto pick = [&](auto matches) {
-    std::vector<std::string> out;
-    for (const FleetVm& it : usable) {
-      if (matches(it))
-        out.push_back(fmt::format("{}:{}", it.address, it.front_port));
+    std::vector<const FleetVm*> near;
+    std::vector<double> capacities;
+    double demand = 0;
+    for (const auto& [vm, requests_per_s] : usable) {
+      if (!matches(*vm)) continue;
+      near.push_back(vm);
+      capacities.push_back(EntrySpread::RequestsPerSecond(vm->capacity, cost_));
+      demand += requests_per_s;
     }
+    std::vector<std::string> out;
+    for (const size_t n : EntrySpread::Choose(capacities, demand))
+      out.push_back(
+          fmt::format("{}:{}", near[n]->address, near[n]->front_port));
     return out;
   };
   std::vector<std::string> out =
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -11,6 +11,7 @@
 #include "gateway/event_log.h"
 #include "net/event_loop.h"
 #include "net/peer_links.h"
+#include "traffic/entry_spread.h"
 #include "traffic/fleet_limiter.h"
 #include "traffic/placement.h"
 
@@ -25,6 +26,7 @@
   uint16_t front_port = 0;
   uint16_t peer_port = 0;
   uint64_t incarnation = 0;
+  EntryCapacity capacity;
   friend bool operator==(const FleetVm&, const FleetVm&) = default;
 };
 
@@ -78,6 +80,11 @@
   // Shares of the other VMs of this region that were heard lately.
   std::map<std::string, std::vector<double>> SharesInRegion() const;
 
+  // Requests of callers a second at this VM, and what one costs it.
+  void SetOwnDemand(double requests_per_s, const RequestCost& cost) {
+    requests_per_s_ = requests_per_s;
+    cost_ = cost;
+  }
   // Front addresses that a caller of a zone should use, best first.
   std::vector<std::string> AddressesFor(const std::string& zone,
                                         const std::string& region) const;
@@ -100,6 +107,7 @@
     bool leaving = false;
     bool keys_fresh = false;
     Duration store_contact{};
+    double requests_per_s = 0;
     std::map<std::string, double> shares;
     RegionLoads loads;
   };
@@ -119,6 +127,8 @@
   bool keys_fresh_ = false;
   uint64_t catalog_version_ = 0;
   Duration store_contact_{};
+  double requests_per_s_ = 0;
+  RequestCost cost_;
   std::map<std::string, double> shares_;
   RegionLoads loads_;
   TimePoint reported_at_{};
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -66,6 +66,7 @@
   it->arrived = now;
   it->catalog = catalog_;
   exchanges_[caller] = std::move(owned);
+  arrivals_.Add(now);
   if (catalog_ == nullptr) {
     Refuse(it, {503, "no-configuration", kRetryWhenUninformed});
     return;
@@ -431,6 +432,10 @@
 void Forwarder::Answer(Exchange* it, const ReceivedMessage& answer,
                        const std::string& instance) {
   CancelAttempts(it);
+  const double bytes =
+      kHeadBytes +
+      static_cast<double>(answer.body.size() + it->request.body.size());
+  mean_bytes_ += kBytesGain * (bytes - mean_bytes_);
   if (!it->has_left) {
     parts_.front->Reply(it->caller, answer.status,
                         ForwardableHeaders(answer.headers), answer.body);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "gateway/front_server.h"
 #include "gateway/upstream_pool.h"
 #include "traffic/catalog.h"
+#include "traffic/entry_spread.h"
 #include "traffic/fleet_limiter.h"
 #include "traffic/instance_board.h"
 #include "traffic/key_freshness.h"
@@ -62,6 +63,17 @@
   // Attempts that found no listener cost the instances nothing; so many are
   // made for one request.
   static constexpr int kMaxConnectFailures = 4;
+  // Window of the mean number of requests a second: a few times as long as
+  // callers keep the answer of a look-up.
+  static constexpr Duration kArrivalWindow = std::chrono::seconds(3);
+  // Processor seconds of one request, reports and logs included: 46.5 s for
+  // 61,000 requests of tmu-points-grown scale-1 (docs/CAPACITY.md).
+  static constexpr double kCpuPerRequest = 0.00076;
+  // Bytes that a request takes on a link until answers were seen, and besides
+  // the body of its answer; weight of one answer in the mean.
+  static constexpr double kFirstBytes = 10'000;
+  static constexpr double kHeadBytes = 800;
+  static constexpr double kBytesGain = 0.01;
 
   explicit Forwarder(ForwarderParts parts);
   Forwarder(const Forwarder&) = delete;
@@ -75,6 +87,12 @@
   void OnCallerLeft(CallerId caller);
   // From now on requests are refused as not run.
   void StopTaking() { is_stopping_ = true; }
+  // Requests of callers a second.
+  double RequestsPerSecond(TimePoint now) const {
+    return arrivals_.PerSecond(now);
+  }
+  // What one request costs this VM on average.
+  RequestCost MeanCost() const { return {mean_bytes_, kCpuPerRequest}; }
   // Requests that wait for an instance.
   size_t open() const { return exchanges_.size(); }
 
@@ -149,6 +167,8 @@
   BackendPicker picker_;
   // Longest deadline of each route's callers.
   std::map<std::string, int64_t> longest_deadline_ms_;
+  RateMeter arrivals_{kArrivalWindow};
+  double mean_bytes_ = kFirstBytes;
   bool is_stopping_ = false;
   uint64_t next_attempt_ = 1;
   std::unordered_map<CallerId, ExchangePtr> exchanges_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -303,6 +303,8 @@
       shares[service] = placement_.split().ShareAway(service);
   }
   fleet_.SetOwnShares(std::move(shares));
+  fleet_.SetOwnDemand(forwarder_->RequestsPerSecond(now),
+                      forwarder_->MeanCost());
   const bool is_fresh = KeysFresh();
   if (is_fresh != was_fresh_) {
     was_fresh_ = is_fresh;
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -134,13 +134,14 @@
 
 constexpr const char* kSettings = R"({"vm":"v1","zone":"a","region":"r",
  "listen":{"callers":"10.0.0.1:80","readiness":"10.0.0.1:81","lookups":"10.0.0.1:82"},
- "first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
+ "link_mbps":200,"cpu_share":0.5,"first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
  "bounds":{"key_withdrawal_s":5,"stop_s":6,"retry_window_s":10,"retry_ratio":0.2,"retry_extra":64,"limit_tolerance_ratio":0.1,"limit_tolerance_requests":20,"limit_window_s":5,"max_shift":0.15,"lookup_ttl_s":5}})";
 
 TEST_CASE("Settings, whole, are read") {
   const Result<Settings> settings = ParseSettings(kSettings, "file", 9);
   REQUIRE(settings.has_value());
   CHECK(settings->gateway.self.vm == "v1");
+  CHECK(settings->gateway.self.capacity == EntryCapacity{200, 0.5});
   CHECK(settings->gateway.self.front_port == 80);
   CHECK(settings->gateway.self.peer_port == 7560);
   CHECK(settings->endpoints.metrics_port == 7561);
@@ -156,7 +157,8 @@
     CAPTURE(name);
     Json missing = whole;
     missing.erase(name);
-    const bool is_optional = name == "region_of_zone";
+    const bool is_optional =
+        name == "region_of_zone" || name == "link_mbps" || name == "cpu_share";
     CHECK(ParseSettings(missing.dump(), "file", 0).has_value() == is_optional);
     Json wrong = whole;
     wrong[name] = Json::array({1});
--- /dev/null
+++ b/tests/traffic/entry_spread_test.cc
@@ -0,0 +1,92 @@
+#include "traffic/entry_spread.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace rwf {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+// Nine of ten answers are small, the tenth is a download of 90 KB.
+constexpr RequestCost kCost{10'000, 0.0006};
+constexpr EntryCapacity kWide{200, 0.5};
+constexpr EntryCapacity kNarrow{10, 0.24};
+
+struct EntrySpreadFixture {
+  std::vector<size_t> Choose(const std::vector<EntryCapacity>& vms,
+                             double demand) const {
+    std::vector<double> capacities;
+    for (const EntryCapacity& it : vms)
+      capacities.push_back(EntrySpread::RequestsPerSecond(it, kCost));
+    return EntrySpread::Choose(capacities, demand);
+  }
+};
+
+// Load pattern: a zone with wide and narrow links under storm traffic. Even
+// spreading fills the narrow links and delays every answer through them.
+TEST_CASE_FIXTURE(EntrySpreadFixture,
+                  "Callers, links of unequal width, use the wide ones") {
+  const std::vector<EntryCapacity> zone = {kNarrow, kWide, kNarrow, kWide};
+  CHECK(Choose(zone, 290) == std::vector<size_t>{1, 3});
+  // Even parts of a small demand fit through the narrow links, too.
+  CHECK(Choose(zone, 60).size() == 4);
+}
+
+TEST_CASE_FIXTURE(EntrySpreadFixture,
+                  "Callers, wide links lost, use the narrow ones") {
+  CHECK(Choose({kNarrow, kNarrow}, 290).size() == 2);
+  CHECK(Choose({kNarrow}, 290).size() == 1);
+  CHECK(Choose({}, 290).empty());
+}
+
+TEST_CASE_FIXTURE(EntrySpreadFixture,
+                  "Callers, demand beyond the wide links, use all") {
+  // 2 of 833/s carry more than 4 of 125/s.
+  CHECK(Choose({kNarrow, kWide, kNarrow, kWide}, 5000).size() == 2);
+  // 6 of 125/s carry more than 1 of 600/s.
+  std::vector<double> capacities(6, 125);
+  capacities[3] = 600;
+  CHECK(EntrySpread::Choose(capacities, 5000).size() == 6);
+}
+
+TEST_CASE_FIXTURE(EntrySpreadFixture,
+                  "Callers, bounds not stated, use every VM") {
+  CHECK(Choose({{}, {}, {}}, 1000).size() == 3);
+}
+
+// Guards against a choice that a plain search over all counts would beat.
+TEST_CASE("Choice, random fleets, is never busier than the best even spread") {
+  std::mt19937_64 random(20261204);
+  std::uniform_real_distribution<double> capacity(10, 1000);
+  for (int round = 0; round < 2000; ++round) {
+    std::vector<double> capacities(1 + random() % 8);
+    for (double& it : capacities) it = capacity(random);
+    const double demand = capacity(random) * 4;
+    const std::vector<size_t> chosen = EntrySpread::Choose(capacities, demand);
+    std::vector<double> sorted = capacities;
+    std::sort(sorted.rbegin(), sorted.rend());
+    double best = 1e9;
+    for (size_t n = 1; n <= sorted.size(); ++n)
+      best = std::min(best, demand / (static_cast<double>(n) * sorted[n - 1]));
+    const double busiest = demand / (static_cast<double>(chosen.size()) *
+                                     capacities[chosen.back()]);
+    CHECK(busiest <= std::max(best, EntrySpread::kUsablePart) * 1.000001);
+  }
+}
+
+TEST_CASE("Rate, steady events and then none, is met and fades") {
+  RateMeter meter(std::chrono::seconds(2));
+  TimePoint now = kStart;
+  for (int n = 0; n < 2000; ++n) {
+    now += std::chrono::milliseconds(10);
+    meter.Add(now);
+  }
+  CHECK(meter.PerSecond(now) == doctest::Approx(100).epsilon(0.02));
+  CHECK(meter.PerSecond(now + std::chrono::seconds(20)) < 0.01);
+}
+
+}  // namespace
+}  // namespace rwf
