--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 #include "base/digest.h"
 #include "base/json_reader.h"
@@ -16,6 +17,12 @@
 constexpr double kMostLinkMbps = 1e7;
 constexpr double kMostCpuShare = 1024;
 
+// Addresses of VMs for a caller.
+struct NearVms {
+  std::vector<std::string> addresses;
+  bool is_enough = false;  // to carry the demand
+};
+
 }  // namespace
 
 std::string FormatFleetVm(const FleetVm& vm) {
@@ -125,17 +132,29 @@
   links_->SetWanted(names);
 }
 
-void Fleet::SetOwnState(bool ready, bool leaving, bool keys_fresh,
-                        uint64_t catalog_version, Duration store_contact) {
-  const bool is_news = leaving != leaving_ || ready != ready_;
-  ready_ = ready;
-  leaving_ = leaving;
-  keys_fresh_ = keys_fresh;
-  catalog_version_ = catalog_version;
-  store_contact_ = store_contact;
+void Fleet::SetOwnState(const OwnState& state) {
+  const bool is_news =
+      state.leaving != own_.leaving || state.ready != own_.ready;
+  own_ = state;
   if (is_news) SendReports();
 }
 
+std::string Fleet::Relay() const {
+  const TimePoint now = EventLoop::Now();
+  // All VMs of a region choose the same one: the first by name.
+  for (const auto& [vm, it] : vms_) {
+    if (own_.may_relay && self_.vm < vm) return "";
+    const bool is_heard =
+        it.has_link && it.is_heard && now - it.heard_at < kRelaySilence;
+    if (it.info.region == self_.region && is_heard && it.may_relay) return vm;
+  }
+  return "";
+}
+
+bool Fleet::Send(const std::string& vm, wire::BodyUnion body) {
+  return links_ != nullptr && links_->Send(vm, std::move(body));
+}
+
 void Fleet::Tick() {
   const TimePoint now = EventLoop::Now();
   std::vector<std::string> departed;
@@ -163,11 +182,12 @@
   const TimePoint now = EventLoop::Now();
   reported_at_ = now;
   wire::FleetReportT report;
-  report.ready = ready_;
-  report.leaving = leaving_;
-  report.keys_fresh = keys_fresh_;
-  report.catalog_version = catalog_version_;
-  report.store_contact_ms = static_cast<uint64_t>(ToMillis(store_contact_));
+  report.ready = own_.ready;
+  report.leaving = own_.leaving;
+  report.keys_fresh = own_.keys_fresh;
+  report.may_relay = own_.may_relay;
+  report.catalog_version = own_.catalog_version;
+  report.store_contact_ms = static_cast<uint64_t>(ToMillis(own_.store_contact));
   report.requests_per_s = static_cast<float>(requests_per_s_);
   const bool is_full = ++partial_reports_ >= kReportsPerFull;
   if (is_full) partial_reports_ = 0;
@@ -198,27 +218,37 @@
 }
 
 void Fleet::OnMessage(const std::string& vm, const wire::MessageT& message) {
-  const wire::FleetReportT* report = message.body.AsFleetReport();
+  if (const auto* report = message.body.AsFleetReport()) {
+    OnReport(vm, *report);
+  } else if (const auto* request = message.body.AsChangesRequest()) {
+    signal_changes_request.emit(vm, *request);
+  } else if (const auto* reply = message.body.AsChangesReply()) {
+    signal_changes_reply.emit(vm, *reply);
+  }
+}
+
+void Fleet::OnReport(const std::string& vm, const wire::FleetReportT& report) {
   const auto it = vms_.find(vm);
-  if (report == nullptr || it == vms_.end()) return;
+  if (it == vms_.end()) return;
   const TimePoint now = EventLoop::Now();
   Member& member = it->second;
   member.heard_at = now;
   member.is_heard = true;
-  member.ready = report->ready;
-  member.leaving = report->leaving;
-  member.keys_fresh = report->keys_fresh;
-  member.store_contact = std::chrono::milliseconds(report->store_contact_ms);
-  member.requests_per_s = report->requests_per_s;
+  member.ready = report.ready;
+  member.leaving = report.leaving;
+  member.keys_fresh = report.keys_fresh;
+  member.may_relay = report.may_relay;
+  member.store_contact = std::chrono::milliseconds(report.store_contact_ms);
+  member.requests_per_s = report.requests_per_s;
   member.shares.clear();
-  for (const auto& share : report->shares)
+  for (const auto& share : report.shares)
     member.shares[share->service] = share->away;
   member.loads.clear();
-  for (const auto& load : report->loads)
+  for (const auto& load : report.loads)
     member.loads[{load->service, load->region}] = load->in_flight;
   std::vector<WorkspaceUsage> usage;
-  usage.reserve(report->uses.size());
-  for (const auto& use : report->uses)
+  usage.reserve(report.uses.size());
+  for (const auto& use : report.uses)
     usage.push_back({use->workspace, use->admitted, use->demand, use->level});
   limiter_->OnReport(vm, links_->IncarnationOf(vm), usage, now);
 }
@@ -239,30 +269,46 @@
     if (IsUsable(it, now)) usable.emplace_back(&it.info, it.requests_per_s);
   }
   // This VM is left out only where others can do better.
-  const bool is_usable = ready_ && !leaving_ && keys_fresh_;
+  const bool is_usable = own_.ready && !own_.leaving && own_.keys_fresh;
   if (is_usable || usable.empty()) usable.emplace_back(&self_, requests_per_s_);
-  const auto pick = [&](auto matches) {
+  const auto pick = [&](auto matches, double demand) {
     std::vector<const FleetVm*> near;
     std::vector<double> capacities;
-    double demand = 0;
     for (const auto& [vm, requests_per_s] : usable) {
       if (!matches(*vm)) continue;
       near.push_back(vm);
       capacities.push_back(EntrySpread::RequestsPerSecond(vm->capacity, cost_));
-      demand += requests_per_s;
     }
-    std::vector<std::string> out;
-    for (const size_t n : EntrySpread::Choose(capacities, demand))
-      out.push_back(
+    const EntrySpread::Choice choice = EntrySpread::Choose(capacities, demand);
+    NearVms out{{}, choice.is_enough};
+    for (const size_t n : choice.entries) {
+      out.addresses.push_back(
           fmt::format("{}:{}", near[n]->address, near[n]->front_port));
+    }
     return out;
   };
-  std::vector<std::string> out =
-      pick([&](const FleetVm& it) { return it.zone == zone; });
-  if (out.empty())
-    out = pick([&](const FleetVm& it) { return it.region == region; });
-  if (out.empty()) out = pick([](const FleetVm&) { return true; });
-  return out;
+  double demand = 0;
+  std::set<std::string> zones = {zone};
+  for (const auto& [vm, requests_per_s] : usable) {
+    if (vm->region != region) continue;
+    demand += requests_per_s;
+    zones.insert(vm->zone);
+  }
+  // What a zone's VMs are asked depends on what look-ups say, so the demand of
+  // a zone is taken as its even part of the region's.
+  const NearVms in_zone =
+      pick([&](const FleetVm& it) { return it.zone == zone; },
+           demand / static_cast<double>(zones.size()));
+  if (in_zone.is_enough) return in_zone.addresses;
+  const NearVms in_region =
+      pick([&](const FleetVm& it) { return it.region == region; }, demand);
+  // Where the whole region is short, callers stay in their zone.
+  const bool is_region_better =
+      in_region.is_enough || in_zone.addresses.empty();
+  if (is_region_better && !in_region.addresses.empty())
+    return in_region.addresses;
+  if (!in_zone.addresses.empty()) return in_zone.addresses;
+  return pick([](const FleetVm&) { return true; }, demand).addresses;
 }
 
 std::map<std::string, std::vector<double>> Fleet::SharesInRegion() const {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -58,14 +58,35 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
+  // A VM that was not heard for this long is not asked for changes of the
+  // store.
+  static constexpr Duration kRelaySilence = std::chrono::milliseconds(700);
+
   // Opens links; `secret` proves that a peer belongs to the fleet.
   Result<void> Start(const std::string& secret);
   bool is_started() const { return links_ != nullptr; }
 
   void OnListed(const FleetVm& vm);
   void OnUnlisted(const std::string& vm);
-  void SetOwnState(bool ready, bool leaving, bool keys_fresh,
-                   uint64_t catalog_version, Duration store_contact);
+  // What this VM tells the others of itself.
+  struct OwnState {
+    bool ready = false;
+    bool leaving = false;
+    bool keys_fresh = false;
+    // Whether others may ask it for changes of the store.
+    bool may_relay = false;
+    uint64_t catalog_version = 0;
+    Duration store_contact{};
+  };
+  void SetOwnState(const OwnState& state);
+  // The VM of this region that watches the store for the others: empty if it is
+  // this one, or if there is none.
+  std::string Relay() const;
+  bool Send(const std::string& vm, wire::BodyUnion body);
+  sigc::signal<void(const std::string& vm, const wire::ChangesRequestT&)>
+      signal_changes_request;
+  sigc::signal<void(const std::string& vm, const wire::ChangesReplyT&)>
+      signal_changes_reply;
   // The longest time for which a VM that was heard lately has had the store
   // without a failure; zero if none has it.
   Duration LongestStoreContact() const;
@@ -106,6 +127,7 @@
     bool ready = false;
     bool leaving = false;
     bool keys_fresh = false;
+    bool may_relay = false;
     Duration store_contact{};
     double requests_per_s = 0;
     std::map<std::string, double> shares;
@@ -115,6 +137,7 @@
   void Tick();
   bool IsUsable(const Member& it, TimePoint now) const;
   void OnMessage(const std::string& vm, const wire::MessageT& message);
+  void OnReport(const std::string& vm, const wire::FleetReportT& report);
 
   EventLoop* loop_;
   FleetVm self_;
@@ -122,11 +145,7 @@
   EventLog* log_;
   std::unique_ptr<PeerLinks> links_;
   std::map<std::string, Member> vms_;  // without this one
-  bool ready_ = false;
-  bool leaving_ = false;
-  bool keys_fresh_ = false;
-  uint64_t catalog_version_ = 0;
-  Duration store_contact_{};
+  OwnState own_;
   double requests_per_s_ = 0;
   RequestCost cost_;
   std::map<std::string, double> shares_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -142,6 +142,7 @@
                                        : it->workspace->allowed_regions);
   place.objective = route.objective;
   place.idempotent = route.idempotent;
+  place.has_large_answers = route.has_large_answers;
   place.priority = it->workspace != nullptr && it->workspace->priority >= 0
                        ? it->workspace->priority
                        : route.priority;
@@ -317,7 +318,7 @@
   if (result.end == SendEnd::kAnswered)
     NoteReport(attempt.instance, result.answer, now);
   if (end == AttemptEnd::kSucceeded) {
-    parts_.placement->OnAnswer(it->place.service, result.answer.body.size());
+    parts_.placement->OnAnswer(it->route->name, result.answer.body.size());
     if (it->place.object != 0 && state != nullptr && !state->IsCold(now)) {
       parts_.placement->work()->OnAnswer(it->route->name, it->route->objective,
                                          attempt.is_warm
@@ -347,6 +348,14 @@
   AfterFailure(it, end, result);
 }
 
+bool Forwarder::TakeFromBudget(const Exchange& it, TimePoint now) {
+  const bool may_return = !it.may_have_run && !it.place.is_returning;
+  if (may_return && parts_.budget->UsedShare(it.place.service, now) >
+                        kFirstRefusalBudgetShare)
+    return false;
+  return parts_.budget->TryExtra(it.place.service, now);
+}
+
 void Forwarder::AfterFailure(Exchange* it, AttemptEnd end,
                              const SendResult& result) {
   // Another attempt is still under way.
@@ -362,8 +371,7 @@
       it->connect_failures < kMaxConnectFailures && now < it->gives_up;
   Duration retry_after{};
   const char* reason = "overloaded";
-  if (may_send_again &&
-      (it->sends == 0 || parts_.budget->TryExtra(it->place.service, now)) &&
+  if (may_send_again && (it->sends == 0 || TakeFromBudget(*it, now)) &&
       TrySend(it, &retry_after, &reason)) {
     parts_.metrics->CountRetry();
     return;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -60,6 +60,10 @@
   // Second attempts beside slow ones use at most this part of the budget; the
   // rest is for attempts that have failed.
   static constexpr double kHedgeBudgetShare = 0.5;
+  // Requests refused for the first time come back at once and count as new
+  // ones; above this part of the budget, further attempts are left to those
+  // that have come back and would be lost.
+  static constexpr double kFirstRefusalBudgetShare = 0.5;
   // Attempts that found no listener cost the instances nothing; so many are
   // made for one request.
   static constexpr int kMaxConnectFailures = 4;
@@ -161,6 +165,8 @@
            const std::string& instance);
   void CancelAttempts(Exchange* it);
   double ColdRate(const Exchange& it) const;
+  // Takes one further attempt from the budget that all VMs share.
+  bool TakeFromBudget(const Exchange& it, TimePoint now);
 
   ForwarderParts parts_;
   std::shared_ptr<const Catalog> catalog_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,15 +21,15 @@
                  EventLog* log)
     : loop_(loop),
       settings_(std::move(settings)),
-      store_(store),
       decoder_(decoder),
       log_(log),
       freshness_(FromSeconds(ToSeconds(settings_.revoke_within) * kFreshPart)),
       placement_({settings_.self.region, settings_.max_shift}, &board_),
       pool_(loop),
       fleet_(loop, settings_.self, &limiter_, log),
-      watch_(loop, store, &BootTimeNow),
-      registration_(loop, store, std::string(kVmPrefix) + settings_.self.vm,
+      store_(loop, store, RelayCallbacks()),
+      watch_(loop, &store_, &BootTimeNow),
+      registration_(loop, &store_, std::string(kVmPrefix) + settings_.self.vm,
                     FormatFleetVm(settings_.self)) {
   FrontServer::Callbacks callbacks;
   callbacks.on_request = [this](CallerId caller, ReceivedMessage request) {
@@ -67,6 +67,14 @@
             .Text("reason", reason)
             .Number("revision", static_cast<int64_t>(watch_.revision()));
       });
+  ConnectRelay();
+  metrics_.AddValue("rwf_store_changes_relayed_total",
+                    "Answers on changes of the store that came from other VMs",
+                    [this] { return double(store_.counters().relayed); });
+  metrics_.AddValue("rwf_store_relay_fallbacks_total",
+                    "Requests for changes that the store had to answer after "
+                    "another VM did not",
+                    [this] { return double(store_.counters().fallbacks); });
   metrics_.AddValue("rwf_upstream_connections_opened_total",
                     "Connections opened to upstreams",
                     [this] { return double(pool_.counters().opened); });
@@ -94,6 +102,48 @@
 
 Gateway::~Gateway() = default;
 
+RelayedStore::Callbacks Gateway::RelayCallbacks() {
+  RelayedStore::Callbacks out;
+  out.relay = [this] { return fleet_.Relay(); };
+  out.is_relay = [this] {
+    return fleet_.VmsInRegion() > 1 && fleet_.Relay().empty();
+  };
+  out.send = [this](const std::string& vm,
+                    const wire::ChangesRequestT& request) {
+    wire::BodyUnion body;
+    body.Set(wire::ChangesRequestT(request));
+    return fleet_.Send(vm, std::move(body));
+  };
+  out.boot_now = &BootTimeNow;
+  return out;
+}
+
+void Gateway::ConnectRelay() {
+  watch_.signal_change.connect(
+      [this](const StoreItem& it) { relay_.OnChange(it, BootTimeNow()); });
+  watch_.signal_loaded.connect([this] { relay_.OnLoaded(watch_.revision()); });
+  watch_.signal_confirmed.connect([this](TimePoint t) {
+    relay_.OnConfirmed(watch_.revision(), t, BootTimeNow());
+  });
+  watch_.signal_connection.connect([this](bool connected, const std::string&) {
+    if (!connected) relay_.OnLost(BootTimeNow());
+  });
+  relay_.signal_reply.connect(
+      [this](const std::string& vm, const wire::ChangesReplyT& reply) {
+        wire::BodyUnion body;
+        body.Set(wire::ChangesReplyT(reply));
+        fleet_.Send(vm, std::move(body));
+      });
+  fleet_.signal_changes_request.connect(
+      [this](const std::string& vm, const wire::ChangesRequestT& request) {
+        relay_.OnRequest(vm, request, BootTimeNow());
+      });
+  fleet_.signal_changes_reply.connect(
+      [this](const std::string& vm, const wire::ChangesReplyT& reply) {
+        store_.OnReply(vm, reply);
+      });
+}
+
 Result<void> Gateway::Start() {
   Result<void> listening =
       front_->Listen(settings_.self.address, settings_.self.front_port);
@@ -188,7 +238,7 @@
 
 void Gateway::WriteSecret() {
   const std::string secret = ToHex(RandomBytes(kSecretBytes));
-  store_->Write({kSecretKey, secret, 0, true, 0}, [](const Result<uint64_t>&) {
+  store_.Write({kSecretKey, secret, 0, true, 0}, [](const Result<uint64_t>&) {
     // The watch brings the secret that won.
   });
   secret_timer_ = loop_->After(std::chrono::seconds(1), [this] {
@@ -294,7 +344,7 @@
 
 void Gateway::Tick() {
   const TimePoint now = EventLoop::Now();
-  placement_.SetPeerLoads(fleet_.PeerLoads());
+  placement_.SetPeerLoads(fleet_.PeerLoads(), now);
   fleet_.SetOwnLoads(placement_.OwnLoads());
   placement_.Tick(services_, fleet_.SharesInRegion(), now);
   std::map<std::string, double> shares;
@@ -325,9 +375,12 @@
     for (const std::string& id : gone) RemoveInstance(id, "did-not-return");
   }
   const auto& catalog = forwarder_->catalog();
-  fleet_.SetOwnState(IsReady(), is_leaving_, is_fresh,
-                     catalog == nullptr ? 0 : catalog->version(),
-                     StoreContact(now));
+  relay_.Tick(BootTimeNow());
+  const Duration contact = StoreContact(now);
+  fleet_.SetOwnState({IsReady(), is_leaving_, is_fresh,
+                      contact > Duration::zero() && !is_leaving_ &&
+                          store_.IsStoreReliable(BootTimeNow()),
+                      catalog == nullptr ? 0 : catalog->version(), contact});
 }
 
 Duration Gateway::StoreContact(TimePoint now) const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,11 +6,13 @@
 #include <vector>
 
 #include "entry/metrics.h"
+#include "gateway/change_relay.h"
 #include "gateway/event_log.h"
 #include "gateway/fleet.h"
 #include "gateway/forwarder.h"
 #include "gateway/front_server.h"
 #include "gateway/registration.h"
+#include "gateway/relayed_store.h"
 #include "gateway/store_decoder.h"
 #include "gateway/store_watch.h"
 #include "gateway/upstream_pool.h"
@@ -87,6 +89,9 @@
   void RemoveInstance(const std::string& id, const char* reason);
   void EndEvacuation(const std::string& zone);
   void SetRetryBounds();
+  // Connects the parts by which VMs pass changes of the store on.
+  void ConnectRelay();
+  RelayedStore::Callbacks RelayCallbacks();
   Duration ColdStart() const;
   void Tick();
   // For how long the store has answered this VM.
@@ -96,7 +101,6 @@
 
   EventLoop* loop_;
   GatewaySettings settings_;
-  RevisionStore* store_;
   const StoreDecoder* decoder_;
   EventLog* log_;
   Metrics metrics_;
@@ -107,6 +111,8 @@
   SendBudget budget_;
   UpstreamPool pool_;
   Fleet fleet_;
+  ChangeRelay relay_;
+  RelayedStore store_;
   StoreWatch watch_;
   Registration registration_;
   std::unique_ptr<FrontServer> front_;
--- /dev/null
+++ b/src/gateway/relayed_store.cc
@@ -0,0 +1,128 @@
+#include "gateway/relayed_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rwf {
+
+RelayedStore::RelayedStore(EventLoop* loop, RevisionStore* store,
+                           Callbacks callbacks)
+    : loop_(loop), store_(store), callbacks_(std::move(callbacks)) {}
+
+void RelayedStore::Watch(const std::string& prefix, uint64_t revision,
+                         Duration wait, Callback<ChangeSet> done) {
+  const TimePoint now = callbacks_.boot_now();
+  const std::string relay = callbacks_.relay();
+  if (relay.empty()) {
+    const Duration own =
+        callbacks_.is_relay() ? std::min(wait, kRelayingWait) : wait;
+    WatchStore(prefix, revision, own, now, std::move(done));
+    return;
+  }
+  wire::ChangesRequestT request;
+  request.id = next_id_++;
+  request.revision = revision;
+  request.wait_ms = static_cast<uint32_t>(ToMillis(kRelayWait));
+  if (!callbacks_.send(relay, request)) {
+    ++counters_.fallbacks;
+    WatchStore(prefix, revision, kFallbackWait, now, std::move(done));
+    return;
+  }
+  pending_ = std::make_unique<Pending>(
+      Pending{request.id, relay, prefix, revision, now, std::move(done)});
+  timer_ = loop_->After(kRelayWait + kRelayMargin, [this] { Fallback(); });
+}
+
+void RelayedStore::Fallback() {
+  timer_.reset();
+  ++counters_.fallbacks;
+  const std::unique_ptr<Pending> it = std::move(pending_);
+  WatchStore(it->prefix, it->revision, kFallbackWait, it->asked_at,
+             std::move(it->done));
+}
+
+void RelayedStore::OnReply(const std::string& vm,
+                           const wire::ChangesReplyT& reply) {
+  // Late answers belong to requests that were made to the store since.
+  if (pending_ == nullptr || pending_->id != reply.id || pending_->vm != vm)
+    return;
+  const Duration age = std::chrono::microseconds(reply.age_us);
+  if (reply.is_store_lost || age > kMostAge) {
+    Fallback();
+    return;
+  }
+  timer_.reset();
+  ++counters_.relayed;
+  const std::unique_ptr<Pending> it = std::move(pending_);
+  if (reply.is_history_gone) {
+    it->done(Fail(StoreErrc::kHistoryGone,
+                  "the relaying VM no longer has the changes asked for"));
+    return;
+  }
+  ChangeSet out;
+  for (const auto& change : reply.changes) {
+    out.events.push_back(
+        {change->key, change->value, change->revision, change->is_deleted});
+  }
+  // What the other VM knows may end before what this one has read itself, and
+  // its revision may have moved by changes that undid each other.
+  out.revision = out.events.empty() ? it->revision
+                                    : std::max(reply.revision, it->revision);
+  // The request arrived there after it was made, so this errs towards old.
+  out.current_after = std::chrono::microseconds(reply.held_us) - age;
+  it->done(std::move(out));
+}
+
+void RelayedStore::WatchStore(const std::string& prefix, uint64_t revision,
+                              Duration wait, TimePoint asked_at,
+                              Callback<ChangeSet> done) {
+  const TimePoint begun = callbacks_.boot_now();
+  Callback<ChangeSet> dated = [this, wait, asked_at, begun,
+                               done =
+                                   std::move(done)](Result<ChangeSet> changes) {
+    if (changes && !changes->current_after) {
+      const bool waited_in_full =
+          changes->events.empty() && callbacks_.boot_now() - begun >= wait;
+      changes->current_after =
+          begun - asked_at + (waited_in_full ? wait : Duration::zero());
+    }
+    done(std::move(changes));
+  };
+  store_->Watch(prefix, revision, wait, Noting(std::move(dated)));
+}
+
+template <typename T>
+RevisionStore::Callback<T> RelayedStore::Noting(Callback<T> done) {
+  return [this, done = std::move(done)](Result<T> answer) {
+    if (!answer && answer.error().code != StoreErrc::kHistoryGone &&
+        answer.error().code != StoreErrc::kConflict &&
+        answer.error().code != StoreErrc::kNotHeld) {
+      has_failed_ = true;
+      failed_at_ = callbacks_.boot_now();
+    }
+    done(std::move(answer));
+  };
+}
+
+void RelayedStore::Range(const std::string& prefix, const std::string& after,
+                         Duration timeout, Callback<ItemPage> done) {
+  store_->Range(prefix, after, timeout, Noting(std::move(done)));
+}
+
+void RelayedStore::Write(const ItemWrite& write, Callback<uint64_t> done) {
+  store_->Write(write, Noting(std::move(done)));
+}
+
+void RelayedStore::Grant(Duration ttl, Callback<GrantedLease> done) {
+  store_->Grant(ttl, Noting(std::move(done)));
+}
+
+void RelayedStore::Keep(uint64_t lease, Callback<bool> done) {
+  store_->Keep(lease, Noting(std::move(done)));
+}
+
+void RelayedStore::Release(uint64_t lease, Callback<bool> done) {
+  store_->Release(lease, Noting(std::move(done)));
+}
+
+}  // namespace rwf
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -51,6 +51,7 @@
   }
   for (const std::string& key : gone) {
     known_.erase(key);
+    signal_change.emit({key, "", load_revision_, true});
     signal_removed.emit(key);
   }
   loading_.clear();
@@ -91,10 +92,12 @@
   }
   revision_ = std::max(revision_, changes->revision);
   const TimePoint now = boot_now_();
-  const bool waited_in_full =
-      changes->events.empty() && now - asked_at_ >= kWait;
-  signal_confirmed.emit(waited_in_full ? asked_at_ + kWait : asked_at_);
-  if (waited_in_full) {
+  const bool is_empty = changes->events.empty();
+  const bool waited_in_full = is_empty && now - asked_at_ >= kWait;
+  const Duration current_after = changes->current_after.value_or(
+      waited_in_full ? kWait : Duration::zero());
+  signal_confirmed.emit(asked_at_ + current_after);
+  if (is_empty && now - asked_at_ >= kGather) {
     Watch();
   } else {
     retry_timer_ = loop_->After(kGather, [this] { Watch(); });
@@ -104,6 +107,7 @@
 void StoreWatch::Deliver(const StoreItem& item) {
   const auto it = known_.find(item.key);
   if (it != known_.end() && item.revision <= it->second) return;
+  signal_change.emit(item);
   if (item.is_deleted) {
     if (it == known_.end()) return;
     known_.erase(it);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -58,6 +58,8 @@
   // A key was written, or is seen for the first time.
   sigc::signal<void(const StoreItem&)> signal_item;
   sigc::signal<void(const std::string& key)> signal_removed;
+  // Each change as it is heard of, also of keys that were not known here.
+  sigc::signal<void(const StoreItem&)> signal_change;
   // Everything has been read once, or once more.
   sigc::signal<void()> signal_loaded;
   // All changes before this time are known.
--- a/src/replica/revision_store.h
+++ b/src/replica/revision_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
 struct ChangeSet {
   std::vector<StoreItem> events;
   uint64_t revision = 0;
+  // Everything is known up to this long after the call was made, which may be
+  // before it. Not set: up to the call, or its end if it waited in full.
+  std::optional<Duration> current_after;
 };
 
 struct GrantedLease {
--- a/src/traffic/entry_spread.cc
+++ b/src/traffic/entry_spread.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace rwf {
 namespace {
@@ -26,15 +27,16 @@
                                       const RequestCost& cost) {
   double out = kUnbounded;
   if (capacity.link_mbps > 0 && cost.bytes > 0) {
-    out =
-        std::min(out, capacity.link_mbps * kBitsPerMegabit / (8 * cost.bytes));
+    out = std::min(out, kUsableLinkPart * capacity.link_mbps * kBitsPerMegabit /
+                            (8 * cost.bytes));
+  }
+  if (capacity.cpu_share > 0 && cost.cpu_seconds > 0) {
+    out = std::min(out, kUsableCpuPart * capacity.cpu_share / cost.cpu_seconds);
   }
-  if (capacity.cpu_share > 0 && cost.cpu_seconds > 0)
-    out = std::min(out, capacity.cpu_share / cost.cpu_seconds);
   return out;
 }
 
-std::vector<size_t> EntrySpread::Choose(const std::vector<double>& capacities,
+EntrySpread::Choice EntrySpread::Choose(const std::vector<double>& capacities,
                                         double demand) {
   std::vector<size_t> order(capacities.size());
   std::iota(order.begin(), order.end(), size_t{0});
@@ -47,13 +49,13 @@
   for (size_t n = 1; n <= order.size(); ++n) {
     const double smallest = capacities[order[n - 1]];
     const double carried = static_cast<double>(n) * smallest;
-    if (demand <= kUsablePart * carried) fitting = n;
+    if (demand <= carried) fitting = n;
     if (carried <= most_carried) continue;
     most_carried = carried;
     least_busy = n;
   }
   order.resize(fitting > 0 ? fitting : least_busy);
-  return order;
+  return {std::move(order), fitting > 0};
 }
 
 }  // namespace rwf
--- a/src/traffic/entry_spread.h
+++ b/src/traffic/entry_spread.h
@@ -39,19 +39,27 @@
 // the others can carry its part: answers would queue on its link.
 class EntrySpread {
  public:
-  // Part of a link or of a processor that may be in use on average. Above it,
-  // one large answer delays the small ones behind it noticeably.
-  static constexpr double kUsablePart = 0.35;
+  // Part of a link that may be in use on average. A download takes the whole
+  // link while it lasts, so small answers wait behind it long before the link
+  // is full.
+  static constexpr double kUsableLinkPart = 0.2;
+  // Part of a processor that may be in use on average; the rest is for bursts.
+  static constexpr double kUsableCpuPart = 0.5;
 
-  // Requests a second that a VM could carry with everything in use.
+  struct Choice {
+    // Indexes of VMs, largest capacity first; empty only if there are none.
+    std::vector<size_t> entries;
+    // Whether these can carry the demand.
+    bool is_enough = false;
+  };
+
+  // Requests a second that a VM can carry without delaying answers.
   static double RequestsPerSecond(const EntryCapacity& capacity,
                                   const RequestCost& cost);
-  // Indexes into `capacities` (requests a second), largest first: as many VMs
-  // as can take an even part of `demand` (requests a second) without being
-  // used beyond kUsablePart. Where none can, the number of VMs that leaves the
-  // busiest one least busy. Empty only if `capacities` is.
-  static std::vector<size_t> Choose(const std::vector<double>& capacities,
-                                    double demand);
+  // As many VMs as can take an even part of `demand`, both in requests a
+  // second. Where no number of them can, the one that leaves the busiest VM
+  // least busy.
+  static Choice Choose(const std::vector<double>& capacities, double demand);
 };
 
 }  // namespace rwf
--- a/src/traffic/instance_board.cc
+++ b/src/traffic/instance_board.cc
@@ -74,8 +74,12 @@
   if (!ejects_at_once && failures_in_row_ < kFailuresToEject &&
       failure_share_ < kGreyShare)
     return;
-  if (now < ejected_until_) return;
+  if (now < ejected_until_) {
+    if (ejects_at_once) unreachable_until_ = ejected_until_;
+    return;
+  }
   ejected_until_ = now + ejection_;
+  if (ejects_at_once) unreachable_until_ = ejected_until_;
   ejection_ = std::min(ejection_ * 2, kLongestEjection);
   // One more failure after the ejection is enough for the next one.
   failures_in_row_ = kFailuresToEject - 1;
@@ -97,8 +101,12 @@
 }
 
 double InstanceState::LoadAt(TimePoint now) const {
-  return in_flight() + mean_others_ +
-         Decayed(others_ - mean_others_, now - reported_at_, kReportHalfLife);
+  const double weight = ReportWeight(now);
+  return in_flight() + weight * others_ + (1 - weight) * assumed_others_;
+}
+
+double InstanceState::ReportWeight(TimePoint now) const {
+  return Decayed(1, now - reported_at_, kReportHalfLife);
 }
 
 double InstanceState::SlownessAt(TimePoint now) const {
--- a/src/traffic/instance_board.h
+++ b/src/traffic/instance_board.h
@@ -82,13 +82,22 @@
 
   int in_flight() const { return static_cast<int>(attempts_.size()); }
   // Requests running or waiting there, from all VMs: own ones, and those of
-  // others by the last report, which gives way to their mean as it ages.
+  // others by the last report, which gives way to the assumed number as it
+  // ages.
   double LoadAt(TimePoint now) const;
-  // Mean number of requests that other VMs have in flight at such an instance.
-  void set_mean_others(double n) { mean_others_ = n; }
+  // Weight of the last report in the estimate of other VMs' requests, from 1
+  // when it came to 0.
+  double ReportWeight(TimePoint now) const;
+  // Requests of other VMs there as of the last report.
+  double reported_others() const { return others_; }
+  // Requests that other VMs probably have in flight there where no report
+  // tells.
+  void set_assumed_others(double n) { assumed_others_ = n; }
   // How many times longer than expected its requests take, at least 1.
   double SlownessAt(TimePoint now) const;
   bool IsEjected(TimePoint now) const { return now < ejected_until_; }
+  // Left out because nothing listened there, not for bad answers.
+  bool IsUnreachable(TimePoint now) const { return now < unreachable_until_; }
   // Another instance answered at its address: it has ended, whatever its entry
   // says.
   bool is_replaced() const { return is_replaced_; }
@@ -110,10 +119,11 @@
   InstanceInfo info_;
   TimePoint cold_until_{};
   TimePoint ejected_until_{};
+  TimePoint unreachable_until_{};
   TimePoint shed_until_{};
   std::unordered_map<uint64_t, Attempt> attempts_;
   std::unordered_map<uint64_t, TimePoint> warm_;
-  double mean_others_ = 0;
+  double assumed_others_ = 0;
   double others_ = 0;  // requests of other VMs at the last report
   TimePoint reported_at_{};
   double slowness_ = 1;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -125,6 +125,15 @@
   return choice.expected_total <= allowed;
 }
 
+bool Placement::IsPanic(const std::vector<Candidate>& ranked, TimePoint now) {
+  const auto n =
+      std::count_if(ranked.begin(), ranked.end(), [&](const Candidate& it) {
+        return it.it->IsEjected(now) && !it.it->IsUnreachable(now);
+      });
+  return static_cast<double>(n) >
+         kPanicPart * static_cast<double>(ranked.size());
+}
+
 std::optional<PlacementChoice> Placement::Best(const PlacementRequest& request,
                                                bool home, double cold_rate,
                                                size_t home_users,
@@ -136,6 +145,7 @@
   const Duration limit = request.time_left - kMargin;
   const double additional = ToSeconds(times.cold - times.warm) * kColdCost;
   const size_t home_ranks = RanksFor(request.service, ranked.size());
+  const bool is_panic = IsPanic(ranked, now);
   std::optional<PlacementChoice> best;
   double best_cost = std::numeric_limits<double>::max();
   // Ejected instances are taken only when there are no others.
@@ -143,7 +153,9 @@
     size_t rank = 0;
     for (const Candidate& candidate : ranked) {
       InstanceState* it = candidate.it;
-      if (it->IsEjected(now) != takes_ejected) continue;
+      const bool is_left_out =
+          is_panic ? it->IsUnreachable(now) : it->IsEjected(now);
+      if (is_left_out != takes_ejected) continue;
       if (it->IsCold(now) &&
           !pacer_.CanTake(it->info().id, cold_rate, home_users, now))
         continue;
@@ -189,7 +201,7 @@
   if (request.object != 0) objects_[request.service][request.object] = now;
   const double home_load = loads.HomeLoad();
   const double away_load = loads.AwayLoad();
-  const bool prefers_away = split_.IsAway(request.service, request.object);
+  const bool prefers_away = IsAwayObject(request);
   std::optional<PlacementChoice> first =
       Best(request, !prefers_away, cold_rate, home_users,
            prefers_away ? away_load : home_load, now);
@@ -232,7 +244,8 @@
     window_start_ = now;
   }
   ++requests_[0];
-  const bool was_away = split_.IsAway(request.service, request.object);
+  split_.OnRequest(request.service, IsHeavy(request));
+  const bool was_away = IsAwayObject(request);
   if (was_away != choice.is_away) ++spilled_[0];
 }
 
@@ -253,10 +266,16 @@
       continue;
     regions.insert(it->info().region);
     const bool is_home = it->info().region == settings_.region;
-    (is_home ? out.home_load : out.away_load) += it->LoadAt(now);
+    // Without reports of other VMs only the instances tell of their requests.
+    (is_home ? out.home_load : out.away_load) +=
+        peer_loads_.empty() ? it->LoadAt(now) : it->in_flight();
     (is_home ? out.home_slots : out.away_slots) +=
         static_cast<double>(it->info().slots);
   }
+  for (const auto& [key, n] : peer_loads_) {
+    if (key.service != service) continue;
+    (key.region == settings_.region ? out.home_load : out.away_load) += n;
+  }
   out.regions = regions.size();
   cached = {now, out};
   return out;
@@ -279,22 +298,53 @@
   return out;
 }
 
-void Placement::SetPeerLoads(const RegionLoads& loads) {
-  std::map<ServiceRegion, double> slots;
+void Placement::SetPeerLoads(const RegionLoads& loads, TimePoint now) {
+  peer_loads_ = loads;
+  struct Unreported {
+    double requests = 0;
+    double slots = 0;
+  };
+  // Instances with a recent report hold what it tells; the others share the
+  // rest. A plain mean would count the requests at busy instances twice.
+  std::map<ServiceRegion, Unreported> rest;
   for (const auto& [id, it] : board_->all()) {
-    slots[{it->info().service, it->info().region}] +=
-        static_cast<double>(it->info().slots);
+    Unreported& unreported = rest[{it->info().service, it->info().region}];
+    const double weight = it->ReportWeight(now);
+    unreported.requests -= weight * it->reported_others();
+    unreported.slots += (1 - weight) * static_cast<double>(it->info().slots);
   }
-  for (const auto& [id, it] : board_->all()) {
-    const ServiceRegion key{it->info().service, it->info().region};
+  for (auto& [key, unreported] : rest) {
     const auto load = loads.find(key);
-    const double part = static_cast<double>(it->info().slots) / slots[key];
-    it->set_mean_others(load == loads.end() ? 0 : load->second * part);
+    if (load != loads.end()) unreported.requests += load->second;
+    unreported.requests = std::max(0.0, unreported.requests);
   }
+  for (const auto& [id, it] : board_->all()) {
+    const Unreported& unreported =
+        rest[{it->info().service, it->info().region}];
+    const double part =
+        unreported.slots > 0
+            ? static_cast<double>(it->info().slots) / unreported.slots
+            : 0;
+    // Never above the instance's slots and queue: what is left over when
+    // nearly all have reported belongs to no single one.
+    it->set_assumed_others(
+        std::min(unreported.requests * part,
+                 kMostLoad * static_cast<double>(it->info().slots)));
+  }
+}
+
+bool Placement::IsHeavy(const PlacementRequest& request) const {
+  if (request.has_large_answers) return true;
+  const auto it = answer_bytes_.find(request.route);
+  return it != answer_bytes_.end() && it->second > RegionSplit::kHeavyBytes;
+}
+
+bool Placement::IsAwayObject(const PlacementRequest& request) const {
+  return split_.IsAway(request.service, request.object, IsHeavy(request));
 }
 
-void Placement::OnAnswer(const std::string& service, size_t bytes) {
-  double& mean = answer_bytes_[service];
+void Placement::OnAnswer(const std::string& route, size_t bytes) {
+  double& mean = answer_bytes_[route];
   mean += kBytesGain * (static_cast<double>(bytes) - mean);
 }
 
@@ -308,7 +358,6 @@
     const Loads loads = LoadsOf(service, now);
     const auto peers = peer_shares.find(service);
     split_.OnLoad(service, loads.HomeLoad(), loads.AwayLoad(),
-                  answer_bytes_[service],
                   peers == peer_shares.end() ? kNone : peers->second, now);
   }
   for (auto& [service, seen] : objects_) {
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -26,6 +26,7 @@
   Duration time_left{};  // until the caller or the route gives up
   int priority = 0;      // 0 is the most urgent
   bool idempotent = false;
+  bool has_large_answers = false;  // as the route says
   bool is_returning = false;       // it was refused before
   std::vector<std::string> tried;  // instances that had it already
 };
@@ -85,6 +86,10 @@
   // part of its objective, by priority, and if it was refused before.
   static constexpr double kQueueLimits[] = {1.2, 1.0, 0.85};
   static constexpr double kReturningLimit = 1.4;
+  // Part of a region's instances left out for bad answers above which that no
+  // longer counts: the rest could not bear the load, and moving objects to cold
+  // instances costs more than the failures.
+  static constexpr double kPanicPart = 0.5;
   // Objects that an instance is given to keep warm, and the most instances for
   // one object.
   static constexpr double kObjectsPerInstance = 10;
@@ -118,9 +123,9 @@
   // Requests of this VM in flight.
   RegionLoads OwnLoads() const;
   // The same of all other VMs together.
-  void SetPeerLoads(const RegionLoads& loads);
-  // An answer of a service came, of that many bytes.
-  void OnAnswer(const std::string& service, size_t bytes);
+  void SetPeerLoads(const RegionLoads& loads, TimePoint now);
+  // An answer of a route came, of that many bytes.
+  void OnAnswer(const std::string& route, size_t bytes);
   const RegionSplit& split() const { return split_; }
 
  private:
@@ -140,6 +145,8 @@
   };
   bool IsUsable(const InstanceState& it, const PlacementRequest& request,
                 TimePoint now) const;
+  // Whether so many are left out that those with bad answers are used again.
+  static bool IsPanic(const std::vector<Candidate>& ranked, TimePoint now);
   std::vector<Candidate> Ranked(const PlacementRequest& request, bool home,
                                 TimePoint now) const;
   std::optional<PlacementChoice> Best(const PlacementRequest& request,
@@ -156,6 +163,8 @@
                        size_t rank, bool home, TimePoint now) const;
   Loads LoadsOf(const std::string& service, TimePoint now);
   bool MaySpill(TimePoint now) const;
+  bool IsAwayObject(const PlacementRequest& request) const;
+  bool IsHeavy(const PlacementRequest& request) const;
 
   PlacementSettings settings_;
   InstanceBoard* board_;
@@ -167,8 +176,9 @@
     Loads loads;
   };
   std::map<std::string, CachedLoads> loads_;
+  RegionLoads peer_loads_;
   RegionSplit split_;
-  std::map<std::string, double> answer_bytes_;  // mean by service
+  std::map<std::string, double> answer_bytes_;  // mean by route
   // When each object of a service was asked for last.
   std::map<std::string, std::unordered_map<uint64_t, TimePoint>> objects_;
   // Present and last window of requests and of those that spilled.
--- a/src/traffic/region_split.cc
+++ b/src/traffic/region_split.cc
@@ -25,14 +25,28 @@
   shares_[service] = {away, now};
 }
 
+void RegionSplit::OnRequest(const std::string& service, bool is_heavy) {
+  Mix& mix = mixes_[service];
+  ++mix.requests;
+  const double gain =
+      std::max(kLightPartGain, 1.0 / static_cast<double>(mix.requests));
+  mix.light_part += gain * ((is_heavy ? 0.0 : 1.0) - mix.light_part);
+}
+
+double RegionSplit::LightPart(const std::string& service) const {
+  const auto it = mixes_.find(service);
+  return it == mixes_.end() ? 1 : it->second.light_part;
+}
+
 void RegionSplit::OnLoad(const std::string& service, double load,
-                         double away_load, double answer_bytes,
-                         const std::vector<double>& peers, TimePoint now) {
+                         double away_load, const std::vector<double>& peers,
+                         TimePoint now) {
   Share& share = shares_[service];
   const Duration step = std::min(now - share.at, kLongestStep);
   share.at = now;
   const double most = max_shift_ * kShiftPart * ToSeconds(step);
-  const Thresholds& thresholds = answer_bytes > kHeavyBytes ? kHeavy : kLight;
+  const Thresholds& thresholds =
+      share.away < LightPart(service) ? kLight : kHeavy;
   double change = 0;
   // Work goes away only towards regions that are less busy.
   if (load > thresholds.busy && away_load < load) {
@@ -54,12 +68,16 @@
   return it == shares_.end() ? 0 : it->second.away;
 }
 
-bool RegionSplit::IsAway(const std::string& service, uint64_t object) const {
+bool RegionSplit::IsAway(const std::string& service, uint64_t object,
+                         bool is_heavy) const {
   // The hash is independent of the one that ranks instances.
   const uint64_t h = object * 0x9E3779B97F4A7C15ULL;
   const double point =
       static_cast<double>(h >> 11) / static_cast<double>(1ULL << 53);
-  return point < ShareAway(service);
+  const double away = ShareAway(service);
+  const double light = LightPart(service);
+  if (!is_heavy) return point * light < away;
+  return point * (1 - light) < away - light;
 }
 
 }  // namespace rwf
--- a/src/traffic/region_split.h
+++ b/src/traffic/region_split.h
@@ -9,9 +9,10 @@
 
 namespace rwf {
 
-// The share of a service's objects that this VM places outside its own region.
+// The share of a service's requests that this VM places outside its own region.
 // It follows how busy the region is, slowly enough to stay under the cap on
-// traffic shifts, and by object, so that an object keeps its instance.
+// traffic shifts, and by object, so that an object keeps its instance. Requests
+// with small answers go first: links between regions are narrow.
 class RegionSplit {
  public:
   // The region is short above the first load for each slot and has room below
@@ -21,10 +22,14 @@
     double idle = 0;
   };
   static constexpr Thresholds kLight = {0.65, 0.4};
-  // Services with large answers stay longer, since the links between regions
-  // are narrow.
+  // Large answers leave their region later.
   static constexpr Thresholds kHeavy = {1.0, 0.75};
+  // Mean answer size above which a route counts as one with large answers.
   static constexpr double kHeavyBytes = 20'000;
+  // Least weight of one request in the part of requests with small answers. At
+  // a dozen requests a second it looks back half a minute, so that VMs of one
+  // region agree to within a few percent.
+  static constexpr double kLightPartGain = 0.003;
   // Part of the distance to the mean of the region's VMs that is made up in one
   // step: VMs that place an object differently keep it warm at two places.
   static constexpr double kBlend = 0.5;
@@ -45,22 +50,29 @@
   bool HasBegun(const std::string& service) const {
     return shares_.contains(service);
   }
+  // A request arrived; `is_heavy` if its answer is expected to be large.
+  void OnRequest(const std::string& service, bool is_heavy);
   // `load` is requests running or waiting for each slot of the home region,
-  // `away_load` the same of the others, `answer_bytes` the mean size of an
-  // answer, `peers` the shares of the other VMs of the region.
+  // `away_load` the same of the others, `peers` the shares of the other VMs of
+  // the region.
   void OnLoad(const std::string& service, double load, double away_load,
-              double answer_bytes, const std::vector<double>& peers,
-              TimePoint now);
+              const std::vector<double>& peers, TimePoint now);
   double ShareAway(const std::string& service) const;
-  bool IsAway(const std::string& service, uint64_t object) const;
+  bool IsAway(const std::string& service, uint64_t object, bool is_heavy) const;
 
  private:
   struct Share {
     double away = 0;
     TimePoint at{};
   };
+  struct Mix {
+    double light_part = 1;
+    uint64_t requests = 0;
+  };
+  double LightPart(const std::string& service) const;
   double max_shift_;
   std::map<std::string, Share> shares_;
+  std::map<std::string, Mix> mixes_;
 };
 
 }  // namespace rwf
--- /dev/null
+++ b/tests/gateway/change_relay_test.cc
@@ -0,0 +1,302 @@
+#include "gateway/change_relay.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "gateway/relayed_store.h"
+
+namespace rwf {
+namespace {
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+
+StoreItem Item(const std::string& key, uint64_t revision,
+               bool is_deleted = false) {
+  return {key, is_deleted ? "" : std::to_string(revision), revision,
+          is_deleted};
+}
+
+class ChangeRelayFixture {
+ protected:
+  ChangeRelayFixture() {
+    relay.signal_reply.connect(
+        [this](const std::string& vm, const wire::ChangesReplyT& it) {
+          replies.emplace_back(vm, it);
+        });
+    relay.OnLoaded(10);
+    relay.OnConfirmed(10, now, now);
+  }
+  void Ask(uint64_t revision, uint32_t wait_ms = 500) {
+    wire::ChangesRequestT request;
+    request.id = ++asked;
+    request.revision = revision;
+    request.wait_ms = wait_ms;
+    relay.OnRequest("v2", request, now);
+  }
+
+  ChangeRelay relay;
+  TimePoint now{std::chrono::hours(9)};
+  std::vector<std::pair<std::string, wire::ChangesReplyT>> replies;
+  uint64_t asked = 0;
+};
+
+TEST_CASE_FIXTURE(ChangeRelayFixture, "Relay, change heard, answers at once") {
+  Ask(10);
+  CHECK(replies.empty());
+  now += 100 * kMillisecond;
+  relay.OnChange(Item("a", 12), now);
+  CHECK(replies.empty());
+  relay.OnConfirmed(12, now - 30 * kMillisecond, now);
+  REQUIRE(replies.size() == 1);
+  const wire::ChangesReplyT& reply = replies.front().second;
+  REQUIRE(reply.changes.size() == 1);
+  CHECK(reply.changes.front()->key == "a");
+  CHECK(reply.revision == 12);
+  CHECK(reply.held_us == 100'000);
+  CHECK(reply.age_us == 30'000);
+}
+
+// Guards against a VM that was suspended and vouches for what it knew before.
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, frozen meanwhile, tells its age") {
+  Ask(10);
+  now += std::chrono::seconds(7);
+  relay.Tick(now);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.front().second.age_us == 7'000'000);
+}
+
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, store lost, sends those who wait away") {
+  Ask(10);
+  relay.OnLost(now);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.front().second.is_store_lost);
+  Ask(10);
+  CHECK(replies.size() == 2);
+  relay.OnConfirmed(10, now, now);
+  Ask(10);
+  CHECK(replies.size() == 2);
+}
+
+// Guards against a follower that misses changes which are no longer kept.
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, changes too old, says that they are gone") {
+  Ask(9);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.back().second.is_history_gone);
+  relay.OnChange(Item("a", 11), now);
+  relay.OnConfirmed(11, now, now);
+  now += ChangeRelay::kKeep + kMillisecond;
+  relay.Tick(now);
+  relay.OnConfirmed(11, now, now);
+  Ask(10);
+  REQUIRE(replies.size() == 2);
+  CHECK(replies.back().second.is_history_gone);
+  Ask(11);
+  CHECK(replies.size() == 2);
+}
+
+// Guards against followers that end up with other contents than the store, for
+// any order of changes, removals, re-reads and requests.
+TEST_CASE("Relay, random changes, keep followers equal to the store") {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    ChangeRelay relay;
+    TimePoint now{std::chrono::hours(1)};
+    uint64_t revision = 5;
+    std::map<std::string, std::string> store;
+    std::map<std::string, std::string> follower;
+    uint64_t known = 5;
+    relay.OnLoaded(5);
+    relay.OnConfirmed(5, now, now);
+    bool is_gone = false;
+    relay.signal_reply.connect(
+        [&](const std::string&, const wire::ChangesReplyT& reply) {
+          is_gone = reply.is_history_gone;
+          if (is_gone) return;
+          for (const auto& it : reply.changes) {
+            if (it->is_deleted) {
+              follower.erase(it->key);
+            } else {
+              follower[it->key] = it->value;
+            }
+          }
+          known = reply.revision;
+        });
+    for (int step = 0; step < 300; ++step) {
+      now += (random() % 400) * kMillisecond;
+      const uint64_t changes = random() % 4;
+      for (uint64_t n = 0; n < changes; ++n) {
+        const std::string key = "k" + std::to_string(random() % 12);
+        const bool is_deleted = store.contains(key) && random() % 3 == 0;
+        const StoreItem it = Item(key, ++revision, is_deleted);
+        if (is_deleted) {
+          store.erase(key);
+        } else {
+          store[key] = it.value;
+        }
+        relay.OnChange(it, now);
+      }
+      relay.OnConfirmed(revision, now, now);
+      relay.Tick(now);
+      if (random() % 3 != 0) continue;
+      wire::ChangesRequestT request;
+      request.id = static_cast<uint64_t>(step);
+      request.revision = known;
+      request.wait_ms = 0;
+      relay.OnRequest("v", request, now);
+      relay.Tick(now);
+      if (is_gone) {
+        // It reads the store itself.
+        follower = store;
+        known = revision;
+      }
+      CHECK(follower == store);
+    }
+  }
+}
+
+// A store that notes its watches and answers when told to.
+class WatchedStore : public RevisionStore {
+ public:
+  void Range(const std::string&, const std::string&, Duration,
+             Callback<ItemPage>) override {}
+  void Watch(const std::string&, uint64_t, Duration wait,
+             Callback<ChangeSet> done) override {
+    last_wait = wait;
+    watches.push_back(std::move(done));
+  }
+  void Write(const ItemWrite&, Callback<uint64_t>) override {}
+  void Grant(Duration, Callback<GrantedLease>) override {}
+  void Keep(uint64_t, Callback<bool> done) override {
+    done(Fail(StoreErrc::kUnavailable, "turned away"));
+  }
+  void Release(uint64_t, Callback<bool>) override {}
+  std::vector<Callback<ChangeSet>> watches;
+  Duration last_wait{};
+};
+
+class RelayedStoreFixture {
+ protected:
+  RelayedStoreFixture() {
+    RelayedStore::Callbacks callbacks;
+    callbacks.relay = [this] { return relay; };
+    callbacks.is_relay = [this] { return is_relay; };
+    callbacks.send = [this](const std::string&,
+                            const wire::ChangesRequestT& it) {
+      sent.push_back(it);
+      return has_link;
+    };
+    callbacks.boot_now = [this] { return boot; };
+    relayed = std::make_unique<RelayedStore>(&loop, &store, callbacks);
+  }
+  void Watch() {
+    relayed->Watch("", 10, std::chrono::seconds(2),
+                   [this](Result<ChangeSet> it) { results.push_back(it); });
+  }
+  wire::ChangesReplyT Reply(Duration held, Duration age) const {
+    wire::ChangesReplyT out;
+    out.id = sent.back().id;
+    out.revision = 10;
+    out.held_us = static_cast<uint64_t>(held / std::chrono::microseconds(1));
+    out.age_us = static_cast<uint64_t>(age / std::chrono::microseconds(1));
+    return out;
+  }
+  void Wait(Duration d) {
+    const auto timer = loop.After(d, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  EventLoop loop;
+  WatchedStore store;
+  std::string relay = "v1";
+  bool is_relay = false;
+  bool has_link = true;
+  TimePoint boot{std::chrono::hours(3)};
+  std::vector<wire::ChangesRequestT> sent;
+  std::vector<Result<ChangeSet>> results;
+  std::unique_ptr<RelayedStore> relayed;
+};
+
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Watch, another VM answers, spares the store") {
+  Watch();
+  REQUIRE(sent.size() == 1);
+  relayed->OnReply("v1", Reply(400 * kMillisecond, 100 * kMillisecond));
+  REQUIRE(results.size() == 1);
+  CHECK(results.front()->current_after == 300 * kMillisecond);
+  CHECK(store.watches.empty());
+}
+
+// Guards against a VM that stays behind its store because the VM it asks is
+// cut off, frozen, gone or behind itself.
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Watch, another VM of no use, asks the store") {
+  SUBCASE("no link") {
+    has_link = false;
+    Watch();
+  }
+  SUBCASE("store lost there") {
+    Watch();
+    wire::ChangesReplyT reply = Reply({}, {});
+    reply.is_store_lost = true;
+    relayed->OnReply("v1", reply);
+  }
+  SUBCASE("its knowledge is old") {
+    Watch();
+    relayed->OnReply("v1", Reply({}, RelayedStore::kMostAge + kMillisecond));
+  }
+  SUBCASE("silent") {
+    Watch();
+    Wait(RelayedStore::kRelayWait + RelayedStore::kRelayMargin +
+         50 * kMillisecond);
+  }
+  SUBCASE("an answer to an earlier request") {
+    Watch();
+    wire::ChangesReplyT late = Reply({}, {});
+    late.id += 7;
+    relayed->OnReply("v1", late);
+    CHECK(results.empty());
+    Wait(RelayedStore::kRelayWait + RelayedStore::kRelayMargin +
+         50 * kMillisecond);
+  }
+  REQUIRE(store.watches.size() == 1);
+  CHECK(store.last_wait == RelayedStore::kFallbackWait);
+  boot += 5 * kMillisecond;
+  store.watches.front()(ChangeSet{{}, 10, std::nullopt});
+  REQUIRE(results.size() == 1);
+  // An answer that came early confirms up to its call only.
+  CHECK(results.front()->current_after == Duration::zero());
+}
+
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Watch, asked by others, waits for a shorter time") {
+  relay = "";
+  is_relay = true;
+  Watch();
+  CHECK(store.last_wait == RelayedStore::kRelayingWait);
+  boot += RelayedStore::kRelayingWait;
+  store.watches.front()(ChangeSet{{}, 10, std::nullopt});
+  REQUIRE(results.size() == 1);
+  CHECK(results.front()->current_after == RelayedStore::kRelayingWait);
+}
+
+// Guards against a VM that the store turns away and that offers itself again
+// each time another VM has told it the news.
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Store, own call failed, is not relied on for a while") {
+  CHECK(relayed->IsStoreReliable(boot));
+  relayed->Keep(1, [](const Result<bool>&) {});
+  CHECK_FALSE(relayed->IsStoreReliable(boot));
+  boot += RelayedStore::kDistrust + kMillisecond;
+  CHECK(relayed->IsStoreReliable(boot));
+}
+
+}  // namespace
+}  // namespace rwf
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -21,6 +21,7 @@
 constexpr Duration kCold = std::chrono::milliseconds(880);
 constexpr Duration kWarm = std::chrono::milliseconds(264);
 constexpr Duration kTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kExchangePeriod = std::chrono::milliseconds(200);
 
 InstanceInfo Instance(int n, const std::string& region, int64_t slots = 6) {
   InstanceInfo out;
@@ -81,6 +82,7 @@
     while (next < end) {
       Finish(next, &out);
       now_ = next;
+      ExchangeLoads();
       next += FromSeconds(gap(random_));
       ++out.asked;
       Arrive(Hash64(std::to_string(object(random_))) | 1, naive, &out);
@@ -111,6 +113,21 @@
     bool operator<(const End& other) const { return at > other.at; }
   };
 
+  // Every VM tells the others a few times a second what it has in flight.
+  void ExchangeLoads() {
+    if (now_ - exchanged_at_ < kExchangePeriod) return;
+    exchanged_at_ = now_;
+    for (size_t vm = 0; vm < placements_.size(); ++vm) {
+      RegionLoads others;
+      for (size_t peer = 0; peer < placements_.size(); ++peer) {
+        if (peer == vm) continue;
+        for (const auto& [key, n] : placements_[peer]->OwnLoads())
+          others[key] += n;
+      }
+      placements_[vm]->SetPeerLoads(others, now_);
+    }
+  }
+
   void Arrive(uint64_t object, bool naive, Outcome* out) {
     const size_t vm = next_attempt_ % boards_.size();
     PlacementRequest request = Request(object);
@@ -186,6 +203,7 @@
   size_t kept_;
   std::mt19937_64 random_;
   TimePoint now_ = kStart;
+  TimePoint exchanged_at_ = kStart;
   uint64_t next_attempt_ = 1;
   std::vector<std::unique_ptr<InstanceBoard>> boards_;
   std::vector<std::unique_ptr<Placement>> placements_;
@@ -246,6 +264,28 @@
   }
 }
 
+// Load pattern: a few instances hold the popular objects, and only they answer.
+// Guards against counting their requests again as the mean of the silent ones,
+// which made a half empty region look full.
+TEST_CASE_FIXTURE(
+    PlacementFixture,
+    "Load, busy and silent instances, adds up to what VMs report") {
+  // Peers have 20 requests at home; 18 of them are where this VM gets answers.
+  board.Find("i0")->OnReport(9, 0, kStart);
+  board.Find("i1")->OnReport(9, 0, kStart);
+  placement.SetPeerLoads({{{"s", "home"}, 20}}, kStart);
+  double sum = 0;
+  for (int n = 0; n < 4; ++n)
+    sum += board.Find("i" + std::to_string(n))->LoadAt(kStart);
+  CHECK(sum == doctest::Approx(20));
+  CHECK(board.Find("i0")->LoadAt(kStart) == doctest::Approx(9));
+  CHECK(board.Find("i2")->LoadAt(kStart) == doctest::Approx(1));
+  // As the reports age, all requests count as spread evenly.
+  const TimePoint later = kStart + std::chrono::seconds(20);
+  placement.SetPeerLoads({{{"s", "home"}, 20}}, later);
+  CHECK(board.Find("i0")->LoadAt(later) == doctest::Approx(5).epsilon(0.01));
+}
+
 // Guards against work for leaving, replaced, evacuated or foreign instances.
 TEST_CASE_FIXTURE(PlacementFixture,
                   "Placement, instance that may not be used, is left out") {
@@ -265,6 +305,31 @@
   }
 }
 
+// Load pattern: all instances of a service reject half of their requests.
+// Guards against herding onto the few that are not left out at the moment, and
+// against spreading objects over instances that do not hold them.
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, most instances reject, keeps an object's order") {
+  const PlacementChoice before = Choose(Request(7));
+  uint64_t attempt = 1;
+  for (int n = 0; n < 4; ++n) {
+    InstanceState* it = board.Find("i" + std::to_string(n));
+    if (it == before.instance || n > 0) {
+      for (int k = 0; k < 3; ++k) {
+        it->OnSent(attempt, 0, kCold, kStart);
+        it->OnEnded(attempt++, AttemptEnd::kShed, kStart);
+      }
+    }
+  }
+  REQUIRE(before.instance->IsEjected(kStart));
+  const TimePoint later = kStart + InstanceState::kShedPause;
+  CHECK(placement.Choose(Request(7), 2, 2, later).instance == before.instance);
+  // One that nothing listens at stays out.
+  before.instance->OnSent(attempt, 0, kCold, kStart);
+  before.instance->OnEnded(attempt, AttemptEnd::kConnectFailed, kStart);
+  CHECK(placement.Choose(Request(7), 2, 2, later).instance != before.instance);
+}
+
 TEST_CASE_FIXTURE(PlacementFixture,
                   "Placement, region not allowed, is never chosen") {
   for (uint64_t object = 1; object < 100; ++object) {
