--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,174 @@
+"""The faults that the soak injects from outside the processes. Each is a coroutine that ends what it began."""
+import asyncio
+import signal
+
+from vm import GRACE_S
+
+
+async def _store(world, fault, seconds, vms):
+    world.checks.disturb("store", seconds)
+    for vm in vms:
+        world.store.fault[vm] = fault
+        if vm is not None:
+            world.checks.disturb(vm, seconds)
+    await asyncio.sleep(seconds)
+    for vm in vms:
+        world.store.fault.pop(vm, None)
+
+
+async def store_away(world):
+    fault = world.random.choice(("silent", "reset", "busy", "slow", "lost", "many"))
+    await _store(world, fault, world.random.uniform(1, 4), [None])
+
+
+async def store_turns_away(world):
+    fault = world.random.choice(("silent", "reset", "busy", "many"))
+    await _store(world, fault, world.random.uniform(2, 6), [it.name for it in world.pick(world.vms, 2)])
+
+
+async def store_forgets(world):
+    world.checks.disturb("store", 0)
+    world.store.forget_history()
+
+
+async def store_loses_leases(world):
+    """Leases run out while the store is away; instances register again when it is back."""
+    world.checks.disturb("store", 2)
+    world.checks.disturb("instances", 4)
+    world.store.fault[None] = "silent"
+    for lease in list(world.store.leases):
+        world.store._end_lease(lease)
+    names = [it.name for it in world.pick(world.instances, len(world.instances) // 2)]
+    for name in names:
+        world.store.delete(f"servers/{name}")
+    await asyncio.sleep(2)
+    world.store.fault.pop(None, None)
+    await asyncio.sleep(0.5)
+    for it in world.instances:
+        if it.name in names and it.state == "ready":
+            it.beat()
+
+
+async def vm_kill(world):
+    for vm in world.pick(world.vms, world.random.choice((1, 1, 2, len(world.vms)))):
+        world.checks.disturb(vm.name, 0.5)
+        vm.kill()
+        await asyncio.sleep(world.random.uniform(0, 0.2))
+        vm.start()
+
+
+async def vm_pause(world):
+    seconds = world.random.uniform(0.5, 6)
+    vms = world.pick(world.vms, world.random.choice((1, 2)))
+    for vm in vms:
+        world.checks.disturb(vm.name, seconds)
+        vm.signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    for vm in vms:
+        vm.signal(signal.SIGCONT)
+
+
+async def vm_roll(world):
+    """Planned stops, one after the other; each has to end within the grace time."""
+    for vm in world.pick(world.vms, 2):
+        if not vm.is_running() or vm.is_paused:
+            continue
+        process = vm.process
+        world.checks.stopping_until[vm.name] = world.clock() + GRACE_S + 1
+        vm.signal(signal.SIGTERM)
+        until = world.clock() + GRACE_S
+        while process.poll() is None and world.clock() < until:
+            await asyncio.sleep(0.02)
+        if process.poll() is None and vm.process is process:
+            if world.checks.is_sound(vm.name, world.clock()):
+                world.checks.fail("LOST", f"{vm.name} had not stopped {GRACE_S} s after SIGTERM")
+            vm.kill()
+        if not vm.is_running():
+            world.checks.disturb(vm.name, 0)
+            vm.start()
+
+
+async def vm_reload(world):
+    for vm in world.pick(world.vms, 2):
+        vm.signal(signal.SIGHUP)
+
+
+async def links(world, proxies, names):
+    seconds = world.random.uniform(1, 4)
+    mode = world.random.choice(("delay", "silent", "no-requests", "no-answers", "reset"))
+    for name in names:
+        world.checks.disturb(name, seconds)
+    for proxy in proxies:
+        if mode == "reset":
+            proxy.reset_all()
+        else:
+            proxy.mode = mode
+            proxy.delay = world.random.uniform(0.02, 0.2)
+    await asyncio.sleep(seconds)
+    for proxy in proxies:
+        proxy.mode = "pass"
+
+
+async def instance_links(world):
+    await links(world, [it.proxy for it in world.pick(world.instances, 2)], ["instances"])
+
+
+async def peer_links(world):
+    """Faults on everything that goes to one VM by way of its peers' view of it."""
+    vm = world.pick(world.vms, 1)[0]
+    await links(world, world.peer_proxies[vm.name], [it.name for it in world.vms])
+
+
+async def instance_crash(world):
+    world.checks.disturb("instances", 3)
+    instances = world.pick(world.instances, 2)
+    for it in instances:
+        await it.crash()
+    await asyncio.sleep(world.random.uniform(0.3, 3))
+    for it in instances:
+        await it.restart()
+
+
+async def instance_fails(world):
+    seconds = world.random.uniform(2, 5)
+    world.checks.disturb("instances", seconds)
+    instances = world.pick(world.instances, world.random.choice((1, 2, len(world.instances))))
+    how = world.random.choice(("errors", "reset", "truncate", "extra", "shed", "hang", "slow"))
+    for it in instances:
+        it.failing = how
+    await asyncio.sleep(seconds)
+    for it in instances:
+        it.failing = None
+
+
+async def instance_drain(world):
+    ready = [it for it in world.instances if it.state == "ready"]
+    if len(ready) < len(world.instances) - 1:
+        return
+    it = world.pick(ready, 1)[0]
+    it.state = "draining"
+    it.beat()
+    world.checks.draining_since[it.name] = world.clock()
+    await asyncio.sleep(5)
+    del world.checks.draining_since[it.name]
+    it.state = "ready"
+    it.beat()
+
+
+async def config_change(world):
+    world.add_version()
+
+
+async def key_withdrawn(world):
+    spare = [it for it in world.tenants if it.startswith("spare")]
+    if not spare:
+        return
+    tenant = spare[0]
+    world.withdrawn[tenant] = world.tenants[tenant]
+    world.add_version()
+    world.checks.revoked[tenant] = world.clock()
+
+
+FAULTS = (store_away, store_turns_away, store_forgets, store_loses_leases, vm_kill, vm_pause, vm_roll, vm_reload,
+          instance_links, peer_links, instance_crash, instance_fails, instance_drain, config_change, config_change,
+          key_withdrawn)
--- /dev/null
+++ b/tools/soak/http11.py
@@ -0,0 +1,54 @@
+"""Just enough HTTP/1.1 for the doubles of the soak."""
+import dataclasses
+
+
+@dataclasses.dataclass
+class Request:
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+@dataclasses.dataclass
+class Response:
+    status: int
+    headers: dict
+    body: bytes
+
+
+async def _read_head(reader):
+    """The first line and the header fields, or None at the end of the stream."""
+    line = await reader.readline()
+    if not line:
+        return None, {}
+    headers = {}
+    while True:
+        text = await reader.readline()
+        if text in (b"\r\n", b""):
+            return line.decode().split(None, 2), headers
+        name, _, value = text.decode().partition(":")
+        headers[name.strip().lower()] = value.strip()
+
+
+async def read_request(reader):
+    first, headers = await _read_head(reader)
+    if first is None:
+        return None
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Request(first[0], first[1], headers, body)
+
+
+async def read_response(reader):
+    """None if the stream ended before a whole response."""
+    first, headers = await _read_head(reader)
+    if first is None or "content-length" not in headers:
+        return None
+    body = await reader.readexactly(int(headers["content-length"]))
+    return Response(int(first[1]), headers, body)
+
+
+def response(status, body, **headers):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/tools/soak/instance.py
@@ -0,0 +1,112 @@
+"""Stand-in for an upstream instance: slots, a queue, and the ways in which instances fail."""
+import asyncio
+import json
+import time
+
+import http11
+
+QUEUE = 8  # requests that wait for a slot
+
+
+def body_for(request_id, blocks):
+    """The answer to a request; its caller can tell whether it is whole and its own."""
+    return f"{request_id}|{blocks}|{request_id * blocks}|end".encode()
+
+
+def is_body_of(request_id, body):
+    parts = body.decode(errors="replace").split("|")
+    return len(parts) == 4 and parts[1].isdigit() and body == body_for(request_id, int(parts[1]))
+
+
+class Instance:
+    def __init__(self, world, name, service, zone, real, shown, slots=4):
+        self.world = world
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.real = real
+        self.shown = shown  # the address that it registers: that of its proxy
+        self.slots = asyncio.Semaphore(slots)
+        self.slot_count = slots
+        self.queued = 0
+        self.state = "ready"
+        self.failing = None  # None, errors, reset, truncate, extra, shed, hang, slow
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, *self.real)
+
+    def beat(self):
+        self.sequence += 1
+        entry = {"service": self.service, "address": f"{self.shown[0]}:{self.shown[1]}", "zone": self.zone,
+                 "version": "v1", "slots": self.slot_count, "state": self.state, "cold_remaining_s": 0,
+                 "sequence": self.sequence, "born": self.born}
+        self.world.store.put(f"servers/{self.name}", json.dumps(entry))
+
+    async def crash(self):
+        """Ends at once; says nothing."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        await self.start()
+        self.beat()
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await http11.read_request(reader)
+                if request is None or not await self._handle(request, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _handle(self, request, writer):
+        """False if the connection has to end."""
+        random = self.world.random
+        request_id = request.headers.get("x-request-id", "")
+        if request.headers.get("x-expect-instance", self.name) != self.name:
+            writer.write(http11.response(421, b"", X_Instance_Id=self.name))
+            return True
+        is_shed = self.queued >= QUEUE or (self.failing == "shed" and random.random() < 0.6)
+        if is_shed:
+            writer.write(http11.response(503, b"", X_Not_Executed=1, X_Request_Id=request_id))
+            return True
+        self.queued += 1
+        async with self.slots:
+            self.queued -= 1
+            self.world.checks.on_run(self, request)
+            if self.failing == "hang" and random.random() < 0.5:
+                await asyncio.sleep(20)
+            await asyncio.sleep(random.uniform(0.02, 0.08) * (8 if self.failing == "slow" else 1))
+        fails = random.random() < 0.4
+        if self.failing == "errors" and fails:
+            writer.write(http11.response(500, b"", X_Request_Id=request_id, X_Server_Stamp=self.name))
+            return True
+        if self.failing == "reset" and fails:
+            writer.transport.abort()
+            return False
+        answer = http11.response(200, body_for(request_id, random.randint(1, 60)), X_Request_Id=request_id,
+                                 X_Server_Stamp=self.name,
+                                 X_Server_Load=f"{self.slot_count - self.slots._value},{self.queued},{self.slot_count}")
+        if self.failing == "truncate" and fails:
+            writer.write(answer[: len(answer) // 2])
+            await writer.drain()
+            writer.transport.abort()
+            return False
+        writer.write(answer)
+        if self.failing == "extra" and fails:
+            writer.write(answer)
+        return True
