Stop requests that crash the instances that run them, on all VMs

Change: CrashWatch feeds the crash guard of src/once from the data path. A broken run counts as a crash only if its instance is seen to have ended within 3 s (connection refused, entry gone, later start); four instances that end within half a second blame no request. Suspicions and their clearing go to all VMs.

Ruled out: every broken connection as evidence (lost answers would condemn popular requests: test 'answers lost while instances live'), a counter by request id (each repeat has a new one).

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -155,6 +155,10 @@
   return links_ != nullptr && links_->Send(vm, std::move(body));
 }
 
+void Fleet::SendToAll(const wire::MessageT& message) {
+  if (links_ != nullptr) links_->SendToAll(message);
+}
+
 void Fleet::Tick() {
   const TimePoint now = EventLoop::Now();
   std::vector<std::string> departed;
@@ -224,6 +228,8 @@
     signal_changes_request.emit(vm, *request);
   } else if (const auto* reply = message.body.AsChangesReply()) {
     signal_changes_reply.emit(vm, *reply);
+  } else if (const auto* suspicion = message.body.AsCrashSuspicion()) {
+    signal_crash_suspicion.emit(*suspicion);
   }
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -83,10 +83,12 @@
   // this one, or if there is none.
   std::string Relay() const;
   bool Send(const std::string& vm, wire::BodyUnion body);
+  void SendToAll(const wire::MessageT& message);
   sigc::signal<void(const std::string& vm, const wire::ChangesRequestT&)>
       signal_changes_request;
   sigc::signal<void(const std::string& vm, const wire::ChangesReplyT&)>
       signal_changes_reply;
+  sigc::signal<void(const wire::CrashSuspicionT&)> signal_crash_suspicion;
   // The longest time for which a VM that was heard lately has had the store
   // without a failure; zero if none has it.
   Duration LongestStoreContact() const;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -77,6 +77,7 @@
   }
   if (!FindRoute(it) || !CheckKey(it, now) || !CheckLimit(it, now)) return;
   Prepare(it, now);
+  if (!CheckCrashes(it, now)) return;
   Duration retry_after{};
   const char* reason = "";
   if (!TrySend(it, &retry_after, &reason))
@@ -156,6 +157,16 @@
       it->gives_up - now, [this, caller] { OnDeadline(caller); });
 }
 
+bool Forwarder::CheckCrashes(Exchange* it, TimePoint now) {
+  it->fingerprint = CrashFingerprint(
+      it->workspace == nullptr ? "" : it->workspace->name, it->request.method,
+      it->request.target, it->request.body);
+  if (!parts_.crashes->IsBlocked(it->fingerprint, now)) return true;
+  // Not a promise: earlier attempts of the caller have run.
+  Refuse(it, {502, "suspected-crash", {}});
+  return false;
+}
+
 double Forwarder::ColdRate(const Exchange& it) const {
   const TrafficService* service = it.catalog->FindService(it.place.service);
   return service == nullptr ? 0 : service->cold_rate;
@@ -191,6 +202,7 @@
   attempt.rank = choice.rank;
   attempt.is_away = choice.is_away;
   choice.instance->OnSent(attempt.id, it->place.object, choice.patience, now);
+  parts_.crashes->OnSent(info.id, it->fingerprint);
   attempt.waiting = choice.expected_total - choice.expected;
   it->place.tried.push_back(info.id);
   ++it->sends;
@@ -311,10 +323,8 @@
   const bool is_stale_connection = end == AttemptEnd::kBroken &&
                                    result.was_reused &&
                                    !result.has_answer_begun;
-  if (state != nullptr) {
-    state->OnEnded(attempt.id,
-                   is_stale_connection ? AttemptEnd::kCancelled : end, now);
-  }
+  EndAttempt(*it, attempt, is_stale_connection ? AttemptEnd::kCancelled : end,
+             now);
   if (result.end == SendEnd::kAnswered)
     NoteReport(attempt.instance, result.answer, now);
   if (end == AttemptEnd::kSucceeded) {
@@ -394,13 +404,12 @@
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
   const TimePoint now = EventLoop::Now();
+  const bool is_sent = !it->attempts.empty() || it->may_have_run;
   for (const Attempt& attempt : it->attempts) {
-    InstanceState* state = parts_.board->Find(attempt.instance);
-    if (state != nullptr)
-      state->OnEnded(attempt.id, AttemptEnd::kTimedOut, now);
+    EndAttempt(*it, attempt, AttemptEnd::kTimedOut, now);
+    parts_.pool->Cancel(attempt.send);
   }
-  const bool is_sent = !it->attempts.empty() || it->may_have_run;
-  CancelAttempts(it);
+  it->attempts.clear();
   if (is_sent) {
     Refuse(it, {504, "deadline", {}});
   } else {
@@ -417,21 +426,25 @@
   // A run that must not be repeated is let finish: its caller may look for the
   // effect later.
   if (!it->route->idempotent && !it->attempts.empty()) return;
-  const TimePoint now = EventLoop::Now();
-  for (const Attempt& attempt : it->attempts) {
-    InstanceState* state = parts_.board->Find(attempt.instance);
-    if (state != nullptr)
-      state->OnEnded(attempt.id, AttemptEnd::kCancelled, now);
-  }
   CancelAttempts(it);
   End(it, "caller-left", 0, "");
 }
 
+void Forwarder::EndAttempt(const Exchange& it, const Attempt& attempt,
+                           AttemptEnd end, TimePoint now) {
+  InstanceState* state = parts_.board->Find(attempt.instance);
+  if (state != nullptr) state->OnEnded(attempt.id, end, now);
+  parts_.crashes->OnEnded(attempt.instance, it.fingerprint,
+                          end == AttemptEnd::kSucceeded,
+                          end == AttemptEnd::kBroken, now);
+  if (end == AttemptEnd::kConnectFailed)
+    parts_.crashes->OnInstanceEnded(attempt.instance, now);
+}
+
 void Forwarder::CancelAttempts(Exchange* it) {
+  const TimePoint now = EventLoop::Now();
   for (const Attempt& attempt : it->attempts) {
-    InstanceState* state = parts_.board->Find(attempt.instance);
-    if (state != nullptr)
-      state->OnEnded(attempt.id, AttemptEnd::kCancelled, EventLoop::Now());
+    EndAttempt(*it, attempt, AttemptEnd::kCancelled, now);
     parts_.pool->Cancel(attempt.send);
   }
   it->attempts.clear();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "entry/metrics.h"
 #include "gateway/backend_picker.h"
+#include "gateway/crash_watch.h"
 #include "gateway/dialect.h"
 #include "gateway/event_log.h"
 #include "gateway/front_server.h"
@@ -38,6 +39,7 @@
   SendBudget* budget = nullptr;
   UpstreamPool* pool = nullptr;
   KeyFreshness* freshness = nullptr;
+  CrashWatch* crashes = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   FrontServer* front = nullptr;
@@ -120,6 +122,8 @@
     const TrafficRoute* route = nullptr;
     const TrafficWorkspace* workspace = nullptr;
     PlacementRequest place;
+    // Names requests that do the same.
+    Digest fingerprint{};
     TimePoint arrived{};
     TimePoint gives_up{};
     int sends = 0;  // that may have reached an instance
@@ -144,6 +148,8 @@
   bool CheckKey(Exchange* it, TimePoint now);
   bool CheckLimit(Exchange* it, TimePoint now);
   void Prepare(Exchange* it, TimePoint now);
+  // Refuses a request that has crashed the instances that ran it.
+  bool CheckCrashes(Exchange* it, TimePoint now);
 
   // Places and sends once more. False if there is no place for it.
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
@@ -163,6 +169,9 @@
   void Refuse(Exchange* it, const Refusal& refusal);
   void End(Exchange* it, const char* result, int status,
            const std::string& instance);
+  // An attempt ended without an answer of its instance that is passed on.
+  void EndAttempt(const Exchange& it, const Attempt& attempt, AttemptEnd end,
+                  TimePoint now);
   void CancelAttempts(Exchange* it);
   double ColdRate(const Exchange& it) const;
   // Takes one further attempt from the budget that all VMs share.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,8 @@
 constexpr std::string_view kVmPrefix = "rwf/vm/";
 constexpr const char* kSecretKey = "rwf/secret";
 constexpr size_t kSecretBytes = 32;
+// Digits of a digest that log lines show.
+constexpr size_t kShownDigest = 16;
 constexpr uint64_t kSecretSpreadMs = 600;
 constexpr Duration kStopStep = std::chrono::milliseconds(50);
 
@@ -48,6 +50,7 @@
   parts.budget = &budget_;
   parts.pool = &pool_;
   parts.freshness = &freshness_;
+  parts.crashes = &crashes_;
   parts.log = log;
   parts.metrics = &metrics_;
   parts.front = front_.get();
@@ -68,6 +71,7 @@
             .Number("revision", static_cast<int64_t>(watch_.revision()));
       });
   ConnectRelay();
+  ConnectCrashWatch();
   metrics_.AddValue("rwf_store_changes_relayed_total",
                     "Answers on changes of the store that came from other VMs",
                     [this] { return double(store_.counters().relayed); });
@@ -118,6 +122,21 @@
   return out;
 }
 
+void Gateway::ConnectCrashWatch() {
+  crashes_.signal_news.connect([this](const wire::CrashSuspicionT& it) {
+    log_->State(it.cleared ? "crash_suspicion_cleared" : "crash_suspected")
+        .Text("request", ToHex(it.fingerprint).substr(0, kShownDigest))
+        .Text("instance", it.upstream);
+    wire::MessageT message;
+    message.body.Set(wire::CrashSuspicionT(it));
+    fleet_.SendToAll(message);
+  });
+  fleet_.signal_crash_suspicion.connect(
+      [this](const wire::CrashSuspicionT& it) {
+        crashes_.OnMessage(it, EventLoop::Now());
+      });
+}
+
 void Gateway::ConnectRelay() {
   watch_.signal_change.connect(
       [this](const StoreItem& it) { relay_.OnChange(it, BootTimeNow()); });
@@ -289,6 +308,8 @@
         .Number("sequence", entry.sequence);
     return;
   }
+  if (beat.born_ms != 0 && entry.info.born_ms > beat.born_ms)
+    crashes_.OnInstanceEnded(entry.info.id, now);
   beat = {entry.info.born_ms, entry.sequence};
   lapsed_.erase(entry.info.id);
   InstanceState* before = board_.Find(entry.info.id);
@@ -310,6 +331,7 @@
 void Gateway::RemoveInstance(const std::string& id, const char* reason) {
   if (board_.Find(id) == nullptr) return;
   log_->State("instance_gone").Text("instance", id).Text("reason", reason);
+  crashes_.OnInstanceEnded(id, EventLoop::Now());
   board_.Remove(id);
   pool_.Forget(id);
   lapsed_.erase(id);
@@ -376,6 +398,7 @@
   }
   const auto& catalog = forwarder_->catalog();
   relay_.Tick(BootTimeNow());
+  crashes_.Tick(now);
   const Duration contact = StoreContact(now);
   fleet_.SetOwnState({IsReady(), is_leaving_, is_fresh,
                       contact > Duration::zero() && !is_leaving_ &&
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,8 @@
   // Connects the parts by which VMs pass changes of the store on.
   void ConnectRelay();
   RelayedStore::Callbacks RelayCallbacks();
+  // Passes suspicions of crashes on to the other VMs and takes theirs.
+  void ConnectCrashWatch();
   Duration ColdStart() const;
   void Tick();
   // For how long the store has answered this VM.
@@ -109,6 +111,7 @@
   Placement placement_;
   FleetLimiter limiter_;
   SendBudget budget_;
+  CrashWatch crashes_;
   UpstreamPool pool_;
   Fleet fleet_;
   ChangeRelay relay_;
--- /dev/null
+++ b/tests/gateway/crash_watch_test.cc
@@ -0,0 +1,115 @@
+#include "gateway/crash_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <list>
+#include <memory>
+#include <random>
+
+namespace rwf {
+namespace {
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+
+// Several VMs that tell each other what they suspect.
+class CrashWatchFixture {
+ protected:
+  CrashWatchFixture() {
+    for (int n = 0; n < 3; ++n) watches.emplace_back();
+    for (CrashWatch& it : watches) {
+      it.signal_news.connect([this, &it](const wire::CrashSuspicionT& news) {
+        for (CrashWatch& other : watches) {
+          if (&other != &it) other.OnMessage(news, now);
+        }
+      });
+    }
+  }
+  CrashWatch& Vm(size_t n) { return *std::next(watches.begin(), ptrdiff_t(n)); }
+  // A run that ends with its connection; `dies` if the instance does, too.
+  void Break(size_t vm, const std::string& instance, const Digest& fingerprint,
+             bool dies) {
+    Vm(vm).OnSent(instance, fingerprint);
+    now += 20 * kMillisecond;
+    Vm(vm).OnEnded(instance, fingerprint, false, true, now);
+    now += 20 * kMillisecond;
+    if (dies) Vm(vm).OnInstanceEnded(instance, now);
+  }
+  void Succeed(size_t vm, const std::string& instance,
+               const Digest& fingerprint) {
+    Vm(vm).OnSent(instance, fingerprint);
+    Vm(vm).OnEnded(instance, fingerprint, true, false, now);
+  }
+  bool IsBlocked() { return Vm(2).IsBlocked(poison, now); }
+
+  std::list<CrashWatch> watches;
+  TimePoint now{std::chrono::hours(2)};
+  const Digest poison = CrashFingerprint("w", "GET", "/a/1", "");
+};
+
+// Guards against a request that its caller sends again and again and that takes
+// one instance after the other down, at whichever VM it arrives.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, crashes instances of several VMs, is stopped") {
+  Break(0, "i1", poison, true);
+  CHECK_FALSE(IsBlocked());
+  now += std::chrono::seconds(2);
+  Break(1, "i2", poison, true);
+  now += std::chrono::seconds(2);
+  Break(2, "i3", poison, true);
+  for (size_t vm = 0; vm < 3; ++vm) CHECK(Vm(vm).IsBlocked(poison, now));
+  CHECK_FALSE(Vm(0).IsBlocked(CrashFingerprint("w", "GET", "/a/2", ""), now));
+}
+
+// Guards against blaming requests for answers that were lost, and for
+// instances that end later for other reasons.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, answers lost while instances live, goes on") {
+  for (int n = 0; n < 20; ++n) {
+    Break(static_cast<size_t>(n % 3), "i" + std::to_string(n), poison, false);
+    now += std::chrono::seconds(1);
+  }
+  CHECK_FALSE(IsBlocked());
+  now += CrashWatch::kConfirmWithin;
+  for (CrashWatch& it : watches) it.Tick(now);
+  for (int n = 0; n < 20; ++n)
+    Vm(static_cast<size_t>(n % 3))
+        .OnInstanceEnded("i" + std::to_string(n), now);
+  CHECK_FALSE(IsBlocked());
+}
+
+// Guards against a zone without power condemning what ran there.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, many instances end at once, goes on") {
+  for (int round = 0; round < 3; ++round) {
+    for (int n = 0; n < 6; ++n) {
+      const std::string id = std::to_string(round * 10 + n);
+      Vm(0).OnSent(id, poison);
+      Vm(0).OnEnded(id, poison, false, true, now + n * kMillisecond);
+    }
+    now += 50 * kMillisecond;
+    for (int n = 0; n < 6; ++n)
+      Vm(0).OnInstanceEnded(std::to_string(round * 10 + n), now);
+    now += std::chrono::seconds(5);
+    for (CrashWatch& it : watches) it.Tick(now);
+  }
+  CHECK_FALSE(IsBlocked());
+}
+
+// Guards against stopping a popular request because instances that flap were
+// running it: it succeeds elsewhere in between.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, succeeds in between, is not stopped") {
+  std::mt19937_64 random(8);
+  for (int n = 0; n < 100; ++n) {
+    const size_t vm = random() % 3;
+    Break(vm, "i" + std::to_string(random() % 8), poison, true);
+    now += std::chrono::seconds(1);
+    Succeed(random() % 3, "good", poison);
+    CHECK_FALSE(IsBlocked());
+    now += CrashGuard::kClearedMemory;
+    for (CrashWatch& it : watches) it.Tick(now);
+  }
+}
+
+}  // namespace
+}  // namespace rwf
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -149,6 +149,7 @@
     parts.budget = &budget;
     parts.pool = &pool;
     parts.freshness = &freshness;
+    parts.crashes = &crashes;
     parts.log = &log;
     parts.metrics = &metrics;
     parts.front = &front;
@@ -233,6 +234,7 @@
   SendBudget budget;
   UpstreamPool pool{&loop};
   KeyFreshness freshness{std::chrono::seconds(60)};
+  CrashWatch crashes;
   int null_fd = open("/dev/null", O_WRONLY);
   EventLog log{&loop, null_fd, "vm"};
   Metrics metrics;
