--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,178 @@
+#include "gateway/gateway.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+
+#include "base/json_reader.h"
+#include "gateway/memory_store.h"
+#include "net/http_client.h"
+#include "platform/decoder.h"
+#include "platform/endpoints.h"
+
+namespace rwf {
+namespace {
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+constexpr uint16_t kFrontPort = 18511;
+constexpr uint16_t kReadyPort = 18512;
+constexpr uint16_t kLookupPort = 18513;
+constexpr uint16_t kMetricsPort = 18514;
+constexpr uint16_t kPeerPort = 18515;
+
+constexpr const char* kConfig = R"({"version":3,"listeners":[{"host":"h",
+ "rules":[{"name":"r","kind":"safe","public":true,"match":{"prefix":"/r/"},
+ "action":{"service":"s","timeout_s":2,"max_attempts":2}}]}],
+ "clusters":[{"name":"s"}]})";
+
+std::string Entry(const char* state = "ready") {
+  return std::string(R"({"service":"s","address":"127.0.0.1:1","zone":"z",)") +
+         R"("slots":4,"cold_remaining_s":0,"sequence":1,"born":5,"state":")" +
+         state + "\"}";
+}
+
+// One VM with a store in memory, and its small endpoints.
+class GatewayFixture {
+ protected:
+  GatewayFixture() {
+    settings.gateway.self.vm = "v1";
+    settings.gateway.self.zone = "z";
+    settings.gateway.self.region = "r";
+    settings.gateway.self.address = "127.0.0.1";
+    settings.gateway.self.front_port = kFrontPort;
+    settings.gateway.self.peer_port = kPeerPort;
+    settings.gateway.dialect = platform::PlatformDialect();
+    settings.gateway.revoke_within = std::chrono::seconds(5);
+    settings.gateway.stop_within = std::chrono::milliseconds(1000);
+    settings.endpoints = {kReadyPort, kLookupPort, kMetricsPort};
+    settings.longest_lookup_ttl = std::chrono::seconds(5);
+  }
+  void Start() {
+    gateway.emplace(&loop, settings.gateway, &store, &decoder, &log);
+    endpoints.emplace(&loop, settings, &*gateway);
+    REQUIRE(gateway->Start().has_value());
+    REQUIRE(endpoints->Start().has_value());
+  }
+  void Run(Duration d) {
+    const auto timer = loop.After(d, [this] { loop.Stop(); });
+    loop.Run();
+  }
+  HttpOutcome Get(uint16_t port, const std::string& path,
+                  const std::string& query = "") {
+    HttpOutcome out;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.query = query;
+    client.Send({"127.0.0.1", port}, request, std::chrono::seconds(2),
+                [&](const HttpOutcome& it) {
+                  out = it;
+                  loop.Stop();
+                });
+    loop.Run();
+    return out;
+  }
+  // The number of upstream instances that may be used.
+  int Instances() {
+    const std::string text = gateway->metrics()->Collect();
+    const size_t at = text.find("\nrwf_instances ");
+    REQUIRE(at != std::string::npos);
+    return std::stoi(text.substr(at + 15));
+  }
+
+  EventLoop loop;
+  MemoryStore store{&loop};
+  platform::Settings settings;
+  const platform::Decoder decoder{{{"z", "r"}}};
+  int null_fd = open("/dev/null", O_WRONLY);
+  EventLog log{&loop, null_fd, "v1"};
+  HttpClient client{&loop, {}};
+  std::optional<Gateway> gateway;
+  std::optional<platform::EndpointServers> endpoints;
+};
+
+// Guards against callers that are sent to a VM which knows no configuration.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Readiness, no configuration and then one, follows") {
+  Start();
+  Run(100 * kMillisecond);
+  CHECK(Get(kReadyPort, "/readyz").response.status == 503);
+  store.Put("op/config", kConfig);
+  Run(500 * kMillisecond);
+  CHECK(Get(kReadyPort, "/readyz").response.status == 200);
+  CHECK(Get(kReadyPort, "/other").response.status == 404);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Look-up, one VM, names it and a short time") {
+  store.Put("op/config", kConfig);
+  Start();
+  Run(300 * kMillisecond);
+  const HttpOutcome out =
+      Get(kLookupPort, "/resolve", "name=h&region=r&zone=z");
+  REQUIRE(out.response.status == 200);
+  const Json json = Json::parse(out.response.body);
+  CHECK(json["addresses"] == Json::array({"127.0.0.1:18511"}));
+  CHECK(json["ttl_s"].get<double>() <= 2);
+  CHECK(Get(kLookupPort, "/elsewhere").response.status == 404);
+}
+
+// Guards against work for an instance that has left while the store was calm.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, entry removed in calm, is gone at once") {
+  store.Put("op/config", kConfig);
+  store.Put("servers/i1", Entry());
+  store.Put("servers/i2", Entry());
+  Start();
+  Run(300 * kMillisecond);
+  REQUIRE(Instances() == 2);
+  store.Delete("servers/i1");
+  Run(400 * kMillisecond);
+  CHECK(Instances() == 1);
+}
+
+// Guards against emptying the fleet when leases ran out during an outage, and
+// against instances that never come back (a VM once used one for 12 s).
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, entry lapsed in an outage, has a time to return") {
+  store.Put("op/config", kConfig);
+  store.Put("servers/back", Entry());
+  store.Put("servers/gone", Entry());
+  Start();
+  Run(300 * kMillisecond);
+  REQUIRE(Instances() == 2);
+  store.SetDown(true);
+  Run(1500 * kMillisecond);
+  store.Delete("servers/back");
+  store.Delete("servers/gone");
+  CHECK(Instances() == 2);
+  store.SetDown(false);
+  Run(1000 * kMillisecond);
+  CHECK(Instances() == 2);
+  store.Put("servers/back", Entry());
+  Run(Gateway::kReturn);
+  CHECK(Instances() == 1);
+}
+
+// Guards against a planned stop that cuts requests, stays in look-ups or does
+// not end.
+TEST_CASE_FIXTURE(GatewayFixture, "Stop, planned, leaves and ends in its time") {
+  store.Put("op/config", kConfig);
+  Start();
+  Run(300 * kMillisecond);
+  REQUIRE(Get(kReadyPort, "/readyz").response.status == 200);
+  const TimePoint begin = EventLoop::Now();
+  gateway->BeginStop();
+  CHECK(Get(kReadyPort, "/readyz").response.status == 503);
+  // Callers that were sent here before are still answered.
+  CHECK(Get(kFrontPort, "/unknown").response.status == 404);
+  loop.Run();
+  const Duration took = EventLoop::Now() - begin;
+  CHECK(took >= FromSeconds(Gateway::kServePart) - 20 * kMillisecond);
+  CHECK(took <= settings.gateway.stop_within);
+}
+
+}  // namespace
+}  // namespace rwf
