Move the judgement of upstream answers out of the forwarder

JudgeAnswer is a function of the dialect, the request's id and the result of the send; what it says is unchanged. data_path_test and the whole gateway_test pass.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -9,6 +9,7 @@
 #include <ctime>
 
 #include "base/hash.h"
+#include "gateway/answer_judge.h"
 
 namespace rwf {
 namespace {
@@ -288,22 +289,6 @@
   state->OnReport(load[0], load[1], now);
 }
 
-AttemptEnd Forwarder::Judge(const Exchange& it,
-                            const SendResult& result) const {
-  if (result.end == SendEnd::kConnectFailed) return AttemptEnd::kConnectFailed;
-  if (result.end == SendEnd::kBroken) return AttemptEnd::kBroken;
-  const ReceivedMessage& answer = result.answer;
-  if (answer.status == 421) return AttemptEnd::kMisdirected;
-  if (answer.headers.Has(parts_.dialect->not_run)) return AttemptEnd::kShed;
-  const bool has_receipt = answer.headers.Has(parts_.dialect->receipt);
-  if (answer.status < 300 && !has_receipt) return AttemptEnd::kBroken;
-  if (answer.status < 300 &&
-      answer.headers.Get(parts_.dialect->request_id) != it.request_id)
-    return AttemptEnd::kBroken;
-  if (answer.status >= 500) return AttemptEnd::kInstanceError;
-  return AttemptEnd::kSucceeded;
-}
-
 void Forwarder::OnResult(CallerId caller, uint64_t attempt_id,
                          const SendResult& result) {
   const auto found = exchanges_.find(caller);
@@ -317,7 +302,7 @@
   const Attempt attempt = *at;
   it->attempts.erase(at);
   it->last = attempt;
-  const AttemptEnd end = Judge(*it, result);
+  const AttemptEnd end = JudgeAnswer(*parts_.dialect, it->request_id, result);
   InstanceState* state = parts_.board->Find(attempt.instance);
   // A kept connection that the instance closed says nothing of its health.
   const bool is_stale_connection = end == AttemptEnd::kBroken &&
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -156,7 +156,6 @@
   std::string RequestBytes(const Exchange& it, const std::string& instance,
                            Duration left) const;
   void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
-  AttemptEnd Judge(const Exchange& it, const SendResult& result) const;
   void NoteReport(const std::string& instance, const ReceivedMessage& answer,
                   TimePoint now);
   void AfterFailure(Exchange* it, AttemptEnd end, const SendResult& result);
