Log from which VM changes of the store are heard

Change of a dependency: one line store_watched_by when the VM that is asked changes, with whether the store's own answers can be relied on.

--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -50,7 +50,10 @@
   // A link without a report for this long is closed: after a partition its
   // bytes would wait for a retransmission for seconds.
   static constexpr Duration kSilentLink = std::chrono::milliseconds(2000);
-  // Both in periods of the reports, where those are longer.
+  // A VM that was not heard for this long is not asked for changes of the
+  // store.
+  static constexpr Duration kRelaySilence = std::chrono::milliseconds(700);
+  // The same in periods of the reports, where those are longer.
   static constexpr int kSilencePeriods = 3;
   static constexpr int kSilentLinkPeriods = 4;
   // A VM that left the list is still assumed to spend its part of the limits
@@ -61,10 +64,6 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  // A VM that was not heard for this long is not asked for changes of the
-  // store.
-  static constexpr Duration kRelaySilence = std::chrono::milliseconds(700);
-
   // Opens links; `secret` proves that a peer belongs to the fleet.
   Result<void> Start(const std::string& secret);
   bool is_started() const { return links_ != nullptr; }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -384,6 +384,12 @@
     log_->State(is_fresh ? "keys_fresh" : "keys_stale")
         .Millis("age_ms", age.value_or(Duration::zero()));
   }
+  if (std::string relay = fleet_.Relay(); relay != watching_vm_) {
+    watching_vm_ = std::move(relay);
+    log_->State("store_watched_by")
+        .Text("peer", watching_vm_.empty() ? settings_.self.vm : watching_vm_)
+        .Flag("own_store_reliable", store_.IsStoreReliable(BootTimeNow()));
+  }
   if (watch_.is_connected()) {
     std::vector<std::string> gone;
     // Where another VM had the store all the while, it was this VM that was cut
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -127,6 +127,7 @@
   std::vector<std::string> services_;
   bool is_leaving_ = false;
   bool was_fresh_ = false;
+  std::string watching_vm_;  // asked for changes; empty: the store itself
   TimePoint started_at_{};
   TimePoint leaving_since_{};
   bool is_closing_ = false;
