--- a/src/traffic/fleet_limiter.cc
+++ b/src/traffic/fleet_limiter.cc
@@ -62,7 +62,7 @@
 
 // The part of the fleet that this VM knows the spending of.
 double FleetLimiter::FleetPart(TimePoint now) {
-  if (now - fleet_part_at_ >= kShareAge) {
+  if (now - fleet_part_at_ >= ShareAge()) {
     fleet_part_at_ = now;
     fleet_part_ = static_cast<double>(1 + HeardPeers(now)) /
                   static_cast<double>(1 + peers_.size());
@@ -78,7 +78,7 @@
   if (now - bucket->first_known < kStart)
     most = std::max(most, bucket->first_level);
   bucket->level = std::min(most, bucket->level + bucket->rate * part * seconds);
-  if (now - bucket->shared_at >= kShareAge) {
+  if (now - bucket->shared_at >= ShareAge()) {
     bucket->share = ShareOf(*bucket, now);
     bucket->shared_at = now;
   }
--- a/src/traffic/fleet_limiter.h
+++ b/src/traffic/fleet_limiter.h
@@ -46,9 +46,11 @@
   // longer than kDemandWindow: a VM of a large fleet sees few requests of one
   // workspace, and a short window would give it a share by chance.
   static constexpr int kDemandPeriods = 2;
-  // Shares and the number of VMs heard are worked out anew after this time.
+  // Shares and the number of VMs heard are worked out anew after this time, and
+  // at most so many times in a period of the reports, from which they follow.
   // Both take a pass over all VMs.
   static constexpr Duration kShareAge = std::chrono::milliseconds(30);
+  static constexpr int kSharesPerPeriod = 10;
   // Smallest share of the refill, as a part of an even one, so that a workspace
   // that turns to another VM is not refused there until the next reports.
   static constexpr double kLeastShare = 0.25;
@@ -138,6 +140,9 @@
   }
   double FleetPart(TimePoint now);
   bool HasRareReports() const { return report_period_ > kLongestFreePeriod; }
+  Duration ShareAge() const {
+    return std::max(kShareAge, report_period_ / kSharesPerPeriod);
+  }
   Duration DemandWindow() const {
     return std::max(kDemandWindow, report_period_ * kDemandPeriods);
   }
