--- a/tools/soak/instance.py
+++ b/tools/soak/instance.py
@@ -37,6 +37,9 @@
         self.writers = set()
 
     async def start(self):
+        # Overlapping crashes may both want to start it again.
+        if self.server is not None and self.server.is_serving():
+            return
         self.server = await asyncio.start_server(self._serve, *self.real)
 
     def beat(self):
--- a/tools/soak/vm.py
+++ b/tools/soak/vm.py
@@ -34,6 +34,9 @@
             json.dump(settings, f, indent=1)
 
     def start(self):
+        # Overlapping faults may both want to start it; a second process would find the addresses taken.
+        if self.is_running():
+            return
         self.starts += 1
         self.is_paused = False
         with open(self.log, "ab") as out:
