Log why each instance was rejected when a request finds no place

The refusal now carries the earliest expected response, the latest that was accepted, whether the times are measured, and the instances by cause; a counter by main cause goes with it. No decision changes.

Test: Refusal, region full, counts the instances by cause.

--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -26,6 +26,11 @@
                .Name("rwf_upstream_failures_total")
                .Help("Upstream attempts without a usable response by cause")
                .Register(registry_)),
+      refused_placements_(
+          &prometheus::BuildCounter()
+               .Name("rwf_refused_placements_total")
+               .Help("Requests that no instance could take, by main cause")
+               .Register(registry_)),
       lookups_(&prometheus::BuildCounter()
                     .Name("rwf_lookups_total")
                     .Help("Look-ups served")
@@ -55,6 +60,10 @@
   failures_->Add({{"cause", cause}}).Increment();
 }
 
+void Metrics::CountRefusedPlacement(const std::string& cause) {
+  refused_placements_->Add({{"cause", cause}}).Increment();
+}
+
 void Metrics::AddGauge(const std::string& name, const std::string& help,
                        std::function<double()> read) {
   prometheus::Gauge& gauge =
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -28,6 +28,9 @@
   void CountRetry() { retries_->Increment(); }
   // Counts an attempt at an upstream that gave no usable response.
   void CountUpstreamFailure(const std::string& cause);
+  // Counts a request that no instance could take, by the cause that applied to
+  // most of them.
+  void CountRefusedPlacement(const std::string& cause);
 
   // Registers a gauge whose value `read` supplies at each collection. Names of
   // values that only increase end in `_total`.
@@ -41,6 +44,7 @@
   prometheus::Family<prometheus::Counter>* requests_;
   prometheus::Family<prometheus::Histogram>* latencies_;
   prometheus::Family<prometheus::Counter>* failures_;
+  prometheus::Family<prometheus::Counter>* refused_placements_;
   prometheus::Counter* lookups_;
   prometheus::Counter* retries_;
   std::map<std::pair<std::string, std::string>, prometheus::Counter*>
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -162,6 +162,7 @@
   // Chooses an instance and sends an attempt to it. Returns false if no
   // instance can take the request.
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
+  void LogRefusedPlacement(const Exchange& it, const PlacementChoice& choice);
   std::string RequestBytes(const Exchange& it, const std::string& instance,
                            Duration left) const;
   void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -33,6 +33,18 @@
 
 }  // namespace
 
+const char* RejectionCauseName(RejectionCause cause) {
+  static constexpr std::array<const char*,
+                              static_cast<size_t>(RejectionCause::kCount)>
+      kNames = {"cold-rate", "deadline", "full", "cold-run", "late"};
+  return kNames[static_cast<size_t>(cause)];
+}
+
+RejectionCause RefusalDetails::MainCause() const {
+  const auto most = std::max_element(rejected.begin(), rejected.end());
+  return static_cast<RejectionCause>(most - rejected.begin());
+}
+
 Placement::Placement(PlacementSettings settings, InstanceRegistry* registry)
     : settings_(std::move(settings)),
       registry_(registry),
@@ -97,21 +109,24 @@
   return out;
 }
 
-bool Placement::IsWorthwhile(const PlacementRequest& request,
-                             const PlacementChoice& choice, size_t warm_ranks,
-                             double region_load, TimePoint now) const {
+std::optional<RejectionCause> Placement::RejectionOf(
+    const PlacementRequest& request, const PlacementChoice& choice,
+    size_t warm_ranks, double region_load, TimePoint now,
+    RefusalDetails* details) const {
   const InstanceState& it = *choice.instance;
   const auto slots = static_cast<double>(std::max<int64_t>(1, it.info().slots));
   const double load = it.LoadAt(now);
-  if (it.IsFull(now) && load >= slots) return false;
-  if (load + 1 > slots * kMaxLoad) return false;
-  if (region_load < kUnrestrictedLoad) return true;
+  if (it.IsFull(now) && load >= slots) return RejectionCause::kFull;
+  if (load + 1 > slots * kMaxLoad) return RejectionCause::kFull;
+  if (region_load < kUnrestrictedLoad) return std::nullopt;
   const bool may_be_warm =
       choice.is_warm || request.object == 0 || choice.rank == 0;
   if (!may_be_warm) {
     // A cold run takes as long as several warm ones. It is worthwhile only on
     // an instance that will receive the object again, and in a free slot.
-    return choice.rank < warm_ranks && load + 1 <= slots * kFreeSlotLoad;
+    if (choice.rank < warm_ranks && load + 1 <= slots * kFreeSlotLoad)
+      return std::nullopt;
+    return RejectionCause::kColdRun;
   }
   // A full region queues only requests that can still be in time: a late
   // response would delay all requests behind it as well.
@@ -124,7 +139,14 @@
   const Duration allowed =
       std::max(FromSeconds(ToSeconds(request.objective) * limit),
                it.has_succeeded() ? Duration::zero() : choice.expected_total);
-  return choice.expected_total <= allowed;
+  if (choice.expected_total <= allowed) return std::nullopt;
+  const bool is_first =
+      details->rejected[static_cast<size_t>(RejectionCause::kLate)] == 0;
+  if (is_first || choice.expected_total < details->expected) {
+    details->expected = choice.expected_total;
+    details->allowed = allowed;
+  }
+  return RejectionCause::kLate;
 }
 
 bool Placement::IsPanic(const std::vector<Candidate>& ranked, TimePoint now) {
@@ -138,13 +160,15 @@
 
 std::optional<PlacementChoice> Placement::FindBest(
     const PlacementRequest& request, bool is_local, double cold_rate,
-    size_t local_vms, double region_load, TimePoint now) const {
+    size_t local_vms, double region_load, TimePoint now,
+    RefusalDetails* details) const {
   const std::vector<Candidate> ranked = RankCandidates(request, is_local, now);
   const ServiceTimeModel::Times times =
       service_times_.Expected(request.route, request.objective);
   const Duration limit = request.time_left - kDeadlineMargin;
   const double cold_penalty =
       ToSeconds(times.cold - times.warm) * kColdCostRatio;
+  details->is_time_measured = times.is_learned;
   const size_t warm_ranks = WarmRanks(request.service, ranked.size());
   const bool is_panic = IsPanic(ranked, now);
   std::optional<PlacementChoice> best;
@@ -158,13 +182,21 @@
           is_panic ? it->IsUnreachable(now) : it->IsEjected(now);
       if (is_excluded != allow_ejected) continue;
       if (it->IsCold(now) &&
-          !pacer_.CanAcquire(it->info().id, cold_rate, local_vms, now))
+          !pacer_.CanAcquire(it->info().id, cold_rate, local_vms, now)) {
+        details->Count(RejectionCause::kColdRate);
         continue;
+      }
       const PlacementChoice choice =
           Evaluate(request, candidate, rank++, is_local, now);
-      if (times.is_learned && choice.expected_total > limit) continue;
-      if (!IsWorthwhile(request, choice, warm_ranks, region_load, now))
+      if (times.is_learned && choice.expected_total > limit) {
+        details->Count(RejectionCause::kDeadline);
+        continue;
+      }
+      if (const auto cause = RejectionOf(request, choice, warm_ranks,
+                                         region_load, now, details)) {
+        details->Count(*cause);
         continue;
+      }
       double cost = ToSeconds(choice.expected_total);
       // Without an object all instances are equally cold.
       if (request.object != 0) {
@@ -205,15 +237,16 @@
   const double local_load = loads.LocalLoad();
   const double remote_load = loads.RemoteLoad();
   const bool prefers_remote = PrefersRemote(request);
+  RefusalDetails details;
   std::optional<PlacementChoice> first =
       FindBest(request, !prefers_remote, cold_rate, local_vms,
-               prefers_remote ? remote_load : local_load, now);
+               prefers_remote ? remote_load : local_load, now, &details);
   // The preferred region meets the objective, so no other is considered.
   if (first && first->expected_total <= request.objective) return *first;
   std::optional<PlacementChoice> second;
   if (prefers_remote || MaySpill(now) || loads.local_slots <= 0) {
     second = FindBest(request, prefers_remote, cold_rate, local_vms,
-                      prefers_remote ? local_load : remote_load, now);
+                      prefers_remote ? local_load : remote_load, now, &details);
   }
   if (second &&
       (!first || second->expected_total * 3 / 2 < first->expected_total))
@@ -222,6 +255,7 @@
   PlacementChoice out;
   out.local_load = local_load;
   out.remote_load = remote_load;
+  out.details = details;
   out.reason = loads.local_slots + loads.remote_slots > 0
                    ? PlacementRefusal::kNoCapacity
                    : PlacementRefusal::kNoInstance;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,34 @@
   kNoCapacity,  // all are full, or the response would be too late
 };
 
+// Why an instance was not chosen for a request.
+enum class RejectionCause : uint8_t {
+  kColdRate,  // the rate that it sustains while cold is used up
+  kDeadline,  // the response would miss the deadline
+  kFull,      // its queue is full or it has just shed a request
+  kColdRun,   // a cold run there would displace several warm ones
+  kLate,      // the response would be later than a full region accepts
+  kCount,
+};
+const char* RejectionCauseName(RejectionCause cause);
+
+// The inputs of a refusal, for logs and metrics.
+struct RefusalDetails {
+  // Number of instances by the cause of their rejection.
+  std::array<uint32_t, static_cast<size_t>(RejectionCause::kCount)> rejected{};
+  // Earliest expected response among the instances rejected as late, and the
+  // latest that would have been accepted there.
+  Duration expected{};
+  Duration allowed{};
+  bool is_time_measured = false;  // of the route; false: defaults
+
+  void Count(RejectionCause cause) { ++rejected[static_cast<size_t>(cause)]; }
+  // Returns the cause that applies to most instances.
+  RejectionCause MainCause() const;
+  friend bool operator==(const RefusalDetails&,
+                         const RefusalDetails&) = default;
+};
+
 struct PlacementChoice {
   InstanceState* instance = nullptr;  // null: refused
   PlacementRefusal reason = PlacementRefusal::kNoInstance;
@@ -50,6 +79,7 @@
   // Load per slot of this region and of the others that led to a refusal.
   double local_load = 0;
   double remote_load = 0;
+  RefusalDetails details;
 };
 
 // Identifies a service's instances in one region.
@@ -157,11 +187,15 @@
   std::optional<PlacementChoice> FindBest(const PlacementRequest& request,
                                           bool is_local, double cold_rate,
                                           size_t local_vms, double region_load,
-                                          TimePoint now) const;
-  // Whether admitting this run is better for the region than refusing it.
-  bool IsWorthwhile(const PlacementRequest& request,
-                    const PlacementChoice& choice, size_t warm_ranks,
-                    double region_load, TimePoint now) const;
+                                          TimePoint now,
+                                          RefusalDetails* details) const;
+  // Returns why refusing this run is better for the region than admitting it,
+  // if it is. Records the times of a late run in `details`.
+  std::optional<RejectionCause> RejectionOf(const PlacementRequest& request,
+                                            const PlacementChoice& choice,
+                                            size_t warm_ranks,
+                                            double region_load, TimePoint now,
+                                            RefusalDetails* details) const;
   // Number of instances of an object's order that may hold it warm.
   size_t WarmRanks(const std::string& service, size_t instances) const;
   PlacementChoice Evaluate(const PlacementRequest& request, const Candidate& it,
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -266,6 +266,33 @@
   }
 }
 
+// Guards against refusals whose logs do not tell a full queue from an estimate.
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Refusal, region full, counts the instances by cause") {
+  uint64_t attempt = 1;
+  const auto fill = [&](const std::string& id, int requests) {
+    for (int n = 0; n < requests; ++n)
+      registry.Find(id)->OnSent(attempt++, 0, kCold, kStart);
+  };
+  for (int n = 0; n < 8; ++n) fill("i" + std::to_string(n), n < 2 ? 18 : 12);
+  PlacementRequest request = Request(0);
+  // One response per instance, so that none is exempt as its first run.
+  for (int n = 0; n < 8; ++n) {
+    InstanceState* it = registry.Find("i" + std::to_string(n));
+    it->OnSent(attempt, 0, kCold, kStart);
+    it->OnEnded(attempt++, AttemptOutcome::kSucceeded, kStart);
+  }
+  const PlacementChoice choice = Choose(request);
+  REQUIRE(choice.instance == nullptr);
+  const RefusalDetails& details = choice.details;
+  CHECK(details.rejected[static_cast<size_t>(RejectionCause::kFull)] == 2);
+  CHECK(details.rejected[static_cast<size_t>(RejectionCause::kLate)] == 6);
+  CHECK(details.MainCause() == RejectionCause::kLate);
+  CHECK(details.expected > details.allowed);
+  CHECK(details.allowed == FromSeconds(ToSeconds(kObjective) * 0.85));
+  CHECK_FALSE(details.is_time_measured);
+}
+
 // Load pattern: a few instances hold the popular objects, and only they report.
 // Guards against also counting their requests in the mean of the other
 // instances, which makes a half-empty region look full.
