Keep shifts between regions below their cap on every processor

Cause: the region split may move 0.4 of the permitted shift a second, so 0.8 of it in two seconds, while its test allows 0.75; the rest is meant for single requests.

Change: 0.37 a second.

--- a/src/traffic/region_split.h
+++ b/src/traffic/region_split.h
@@ -38,7 +38,7 @@
   // Maximum change of the share per second, as a fraction of the permitted
   // shift over two seconds. The rest is left for requests that spill
   // individually.
-  static constexpr double kShiftFraction = 0.4;
+  static constexpr double kShiftFraction = 0.37;
   static constexpr double kMaxRemoteShare = 0.9;
 
   // `max_shift` is the maximum fraction of a region's requests that may change
--- a/tests/traffic/components_test.cc
+++ b/tests/traffic/components_test.cc
@@ -145,19 +145,24 @@
 // Guards against traffic shifts above the cap at any course of the load.
 TEST_CASE(
     "Region split, load changes suddenly, shifts its share within the cap") {
-  RegionSplit split(0.15);
-  split.Initialize("s", 6, 72, 3, kStart);
-  std::mt19937_64 random(5);
-  TimePoint now = kStart;
-  std::deque<double> shares;
-  for (int n = 0; n < 400; ++n) {
-    now += 250 * kMillisecond;
-    split.OnLoad("s", static_cast<double>(random() % 3), 0.1,
-                 {static_cast<double>(random() % 100) / 100}, now);
-    shares.push_back(split.RemoteShare("s"));
-    if (shares.size() > 8) {
-      CHECK(std::abs(shares.back() - shares.front()) <= 0.15 * 0.75);
-      shares.pop_front();
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    RegionSplit split(0.15);
+    split.Initialize("s", 6, 72, 3, kStart);
+    std::mt19937_64 random(seed);
+    TimePoint now = kStart;
+    std::deque<double> shares;
+    for (int n = 0; n < 400; ++n) {
+      now += 250 * kMillisecond;
+      // Drawn one by one: the order in which arguments are evaluated differs
+      // between processors.
+      const auto load = static_cast<double>(random() % 3);
+      const double peer_share = static_cast<double>(random() % 100) / 100;
+      split.OnLoad("s", load, 0.1, {peer_share}, now);
+      shares.push_back(split.RemoteShare("s"));
+      if (shares.size() > 8) {
+        CHECK(std::abs(shares.back() - shares.front()) <= 0.15 * 0.75);
+        shares.pop_front();
+      }
     }
   }
 }
