Serve routes whose requests name no object while a region is full

Cause: the run time of a route defaults to 1.4 times its objective until it is measured, and only requests with an object were measured. Above a load of 0.9 a request is admitted only if it is expected within 0.85 to 1.4 times the objective, so the default refused every request without an object, and a refused request never corrects the default. The same holds for a route whose measured run takes longer than that on every instance.

Change: requests without an object are measured, in an estimate of their own; of a run only as much counts in a full region as a shorter queue could make up for. Since such runs may be short, slowness of an instance is not judged by expectations below 100 ms.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -324,6 +324,14 @@
   state->OnReport(load[0], load[1], now);
 }
 
+ServiceTimeModel::Warmth Forwarder::WarmthOf(const Exchange& it,
+                                             const Attempt& attempt) {
+  if (it.placement_request.object == 0)
+    return ServiceTimeModel::Warmth::kNoObject;
+  return attempt.is_warm ? ServiceTimeModel::Warmth::kWarm
+                         : ServiceTimeModel::Warmth::kUncertain;
+}
+
 void Forwarder::OnResult(CallerId caller, uint64_t attempt_id,
                          const SendResult& result) {
   const auto found = exchanges_.find(caller);
@@ -352,12 +360,9 @@
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
     deps_.placement->OnResponse(it->route->name, result.response.body.size());
-    if (it->placement_request.object != 0 && state != nullptr &&
-        !state->IsCold(now)) {
+    if (state != nullptr && !state->IsCold(now)) {
       deps_.placement->service_times()->OnResponse(
-          it->route->name, it->route->objective,
-          attempt.is_warm ? ServiceTimeModel::Warmth::kWarm
-                          : ServiceTimeModel::Warmth::kUncertain,
+          it->route->name, it->route->objective, WarmthOf(*it, attempt),
           now - attempt.started_at - attempt.expected_wait);
     }
     Respond(it, result.response, attempt.instance);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -165,6 +165,8 @@
   void LogRefusedPlacement(const Exchange& it, const PlacementChoice& choice);
   std::string RequestBytes(const Exchange& it, const std::string& instance,
                            Duration left) const;
+  static ServiceTimeModel::Warmth WarmthOf(const Exchange& it,
+                                           const Attempt& attempt);
   void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
   void RecordLoadReport(const std::string& instance,
                         const ReceivedMessage& response, TimePoint now);
--- a/src/traffic/instance_registry.cc
+++ b/src/traffic/instance_registry.cc
@@ -23,7 +23,7 @@
 
 void InstanceState::OnSent(uint64_t attempt, uint64_t object, Duration expected,
                            TimePoint now) {
-  attempts_[attempt] = {now, expected, object};
+  attempts_[attempt] = {now, std::max(expected, kMinExpectedLatency), object};
 }
 
 void InstanceState::OnEnded(uint64_t attempt, AttemptOutcome outcome,
@@ -34,8 +34,8 @@
   attempts_.erase(it);
   switch (outcome) {
     case AttemptOutcome::kSucceeded: {
-      const double ratio = ToSeconds(now - ended.at) /
-                           std::max(0.001, ToSeconds(ended.expected));
+      const double ratio =
+          ToSeconds(now - ended.at) / ToSeconds(ended.expected);
       const double before = SlownessAt(now);
       slowness_ = std::max(1.0, before + 0.3 * (ratio - before));
       slowness_at_ = now;
@@ -117,8 +117,7 @@
   double out =
       1 + Decayed(slowness_ - 1, now - slowness_at_, kSlownessHalfLife);
   for (const auto& [id, it] : attempts_) {
-    out = std::max(
-        out, ToSeconds(now - it.at) / std::max(0.001, ToSeconds(it.expected)));
+    out = std::max(out, ToSeconds(now - it.at) / ToSeconds(it.expected));
   }
   return out;
 }
--- a/src/traffic/instance_registry.h
+++ b/src/traffic/instance_registry.h
@@ -60,6 +60,10 @@
   // Half-life of the slowness estimate, which decays so that the instance is
   // tried again.
   static constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
+  // Expected latency below which slowness is not judged: ordinary delays of
+  // queue and network would look like a slow instance.
+  static constexpr Duration kMinExpectedLatency =
+      std::chrono::milliseconds(100);
   // Number of objects tracked as warm, and for how long. Instances cache a few
   // dozen objects.
   static constexpr size_t kMaxWarmObjects = 24;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -74,16 +74,17 @@
   return out;
 }
 
-PlacementChoice Placement::Evaluate(const PlacementRequest& request,
-                                    const Candidate& candidate, size_t rank,
-                                    bool is_local, TimePoint now) const {
+PlacementChoice Placement::Evaluate(const Search& search,
+                                    const Candidate& candidate,
+                                    size_t rank) const {
   InstanceState* it = candidate.state;
-  const ServiceTimeModel::Times times =
-      service_times_.Expected(request.route, request.objective);
+  const PlacementRequest& request = *search.request;
+  const ServiceTimeModel::Times& times = search.times;
+  const TimePoint now = search.now;
   PlacementChoice out;
   out.instance = it;
   out.rank = rank;
-  out.is_remote = !is_local;
+  out.is_remote = !search.is_local;
   out.is_warm = request.object != 0 && it->IsWarmFor(request.object, now);
   // Other VMs also send the object to the first instance of its order.
   const bool may_be_warm = out.is_warm || (request.object != 0 && rank == 0);
@@ -101,7 +102,7 @@
   const double mean_run =
       (ToSeconds(times.warm) * 2 + ToSeconds(times.cold)) / 3 * slowness;
   const Duration network =
-      is_local ? Duration::zero() : settings_.cross_region_rtt;
+      search.is_local ? Duration::zero() : settings_.cross_region_rtt;
   out.expected = FromSeconds(run);
   out.expected_total = FromSeconds(run + waiting * mean_run) + network;
   out.healthy_latency =
@@ -109,42 +110,52 @@
   return out;
 }
 
+Duration Placement::AcceptedLatency(const Search& search,
+                                    const PlacementChoice& choice) {
+  const PlacementRequest& request = *search.request;
+  // The first run on an instance is expected to exceed the limit.
+  if (!choice.instance->has_succeeded()) return choice.expected_total;
+  // A full region queues only requests that can still be in time: a late
+  // response would delay all requests behind it as well. Of the run itself only
+  // so much counts as a shorter queue can make up for, or requests that take
+  // longer than their objective on every instance would never be served.
+  const size_t n =
+      std::clamp<size_t>(static_cast<size_t>(std::max(0, request.priority)), 0,
+                         std::size(kQueueLimits) - 1);
+  double limit = kQueueLimits[n];
+  if (request.is_retry) limit = std::max(limit, kRetryQueueLimit);
+  const double objective = ToSeconds(request.objective);
+  const double run =
+      ToSeconds(request.object == 0 ? search.times.cold : search.times.warm);
+  const double excess = std::max(0.0, run - objective * kMaxCountedRunRatio);
+  return FromSeconds(objective * limit + excess);
+}
+
 std::optional<RejectionCause> Placement::RejectionOf(
-    const PlacementRequest& request, const PlacementChoice& choice,
-    size_t warm_ranks, double region_load, TimePoint now,
-    RefusalDetails* details) const {
+    const Search& search, const PlacementChoice& choice) const {
   const InstanceState& it = *choice.instance;
   const auto slots = static_cast<double>(std::max<int64_t>(1, it.info().slots));
-  const double load = it.LoadAt(now);
-  if (it.IsFull(now) && load >= slots) return RejectionCause::kFull;
+  const double load = it.LoadAt(search.now);
+  if (it.IsFull(search.now) && load >= slots) return RejectionCause::kFull;
   if (load + 1 > slots * kMaxLoad) return RejectionCause::kFull;
-  if (region_load < kUnrestrictedLoad) return std::nullopt;
+  if (search.region_load < kUnrestrictedLoad) return std::nullopt;
   const bool may_be_warm =
-      choice.is_warm || request.object == 0 || choice.rank == 0;
+      choice.is_warm || search.request->object == 0 || choice.rank == 0;
   if (!may_be_warm) {
     // A cold run takes as long as several warm ones. It is worthwhile only on
     // an instance that will receive the object again, and in a free slot.
-    if (choice.rank < warm_ranks && load + 1 <= slots * kFreeSlotLoad)
+    if (choice.rank < search.warm_ranks && load + 1 <= slots * kFreeSlotLoad)
       return std::nullopt;
     return RejectionCause::kColdRun;
   }
-  // A full region queues only requests that can still be in time: a late
-  // response would delay all requests behind it as well.
-  const size_t n =
-      std::clamp<size_t>(static_cast<size_t>(std::max(0, request.priority)), 0,
-                         std::size(kQueueLimits) - 1);
-  double limit = kQueueLimits[n];
-  if (request.is_retry) limit = std::max(limit, kRetryQueueLimit);
-  // The first run on an instance is expected to exceed the limit.
-  const Duration allowed =
-      std::max(FromSeconds(ToSeconds(request.objective) * limit),
-               it.has_succeeded() ? Duration::zero() : choice.expected_total);
-  if (choice.expected_total <= allowed) return std::nullopt;
+  const Duration accepted = AcceptedLatency(search, choice);
+  if (choice.expected_total <= accepted) return std::nullopt;
+  RefusalDetails* details = search.details;
   const bool is_first =
       details->rejected[static_cast<size_t>(RejectionCause::kLate)] == 0;
   if (is_first || choice.expected_total < details->expected) {
     details->expected = choice.expected_total;
-    details->allowed = allowed;
+    details->allowed = accepted;
   }
   return RejectionCause::kLate;
 }
@@ -158,18 +169,16 @@
          kPanicFraction * static_cast<double>(ranked.size());
 }
 
-std::optional<PlacementChoice> Placement::FindBest(
-    const PlacementRequest& request, bool is_local, double cold_rate,
-    size_t local_vms, double region_load, TimePoint now,
-    RefusalDetails* details) const {
-  const std::vector<Candidate> ranked = RankCandidates(request, is_local, now);
-  const ServiceTimeModel::Times times =
-      service_times_.Expected(request.route, request.objective);
+std::optional<PlacementChoice> Placement::FindBest(Search search) const {
+  const PlacementRequest& request = *search.request;
+  const TimePoint now = search.now;
+  const std::vector<Candidate> ranked =
+      RankCandidates(request, search.is_local, now);
+  const ServiceTimeModel::Times& times = search.times;
   const Duration limit = request.time_left - kDeadlineMargin;
   const double cold_penalty =
       ToSeconds(times.cold - times.warm) * kColdCostRatio;
-  details->is_time_measured = times.is_learned;
-  const size_t warm_ranks = WarmRanks(request.service, ranked.size());
+  search.warm_ranks = WarmRanks(request.service, ranked.size());
   const bool is_panic = IsPanic(ranked, now);
   std::optional<PlacementChoice> best;
   double best_cost = std::numeric_limits<double>::max();
@@ -181,27 +190,26 @@
       const bool is_excluded =
           is_panic ? it->IsUnreachable(now) : it->IsEjected(now);
       if (is_excluded != allow_ejected) continue;
-      if (it->IsCold(now) &&
-          !pacer_.CanAcquire(it->info().id, cold_rate, local_vms, now)) {
-        details->Count(RejectionCause::kColdRate);
+      if (it->IsCold(now) && !pacer_.CanAcquire(it->info().id, search.cold_rate,
+                                                search.local_vms, now)) {
+        search.details->Count(RejectionCause::kColdRate);
         continue;
       }
-      const PlacementChoice choice =
-          Evaluate(request, candidate, rank++, is_local, now);
+      const PlacementChoice choice = Evaluate(search, candidate, rank++);
       if (times.is_learned && choice.expected_total > limit) {
-        details->Count(RejectionCause::kDeadline);
+        search.details->Count(RejectionCause::kDeadline);
         continue;
       }
-      if (const auto cause = RejectionOf(request, choice, warm_ranks,
-                                         region_load, now, details)) {
-        details->Count(*cause);
+      if (const auto cause = RejectionOf(search, choice)) {
+        search.details->Count(*cause);
         continue;
       }
       double cost = ToSeconds(choice.expected_total);
       // Without an object all instances are equally cold.
       if (request.object != 0) {
         if (!choice.is_warm && choice.rank > 0) cost += cold_penalty;
-        if (choice.rank >= warm_ranks) cost += cold_penalty * kHighRankCost;
+        if (choice.rank >= search.warm_ranks)
+          cost += cold_penalty * kHighRankCost;
       }
       // Among equal instances, prefer the one with more free slots.
       cost += kLoadCost * it->LoadAt(now) /
@@ -237,16 +245,26 @@
   const double local_load = loads.LocalLoad();
   const double remote_load = loads.RemoteLoad();
   const bool prefers_remote = PrefersRemote(request);
+  const ServiceTimeModel::Times times = service_times_.Expected(
+      request.route, request.objective, request.object != 0);
   RefusalDetails details;
-  std::optional<PlacementChoice> first =
-      FindBest(request, !prefers_remote, cold_rate, local_vms,
-               prefers_remote ? remote_load : local_load, now, &details);
+  details.is_time_measured = times.is_learned;
+  Search search{.request = &request,
+                .is_local = !prefers_remote,
+                .cold_rate = cold_rate,
+                .local_vms = local_vms,
+                .region_load = prefers_remote ? remote_load : local_load,
+                .now = now,
+                .times = times,
+                .details = &details};
+  std::optional<PlacementChoice> first = FindBest(search);
   // The preferred region meets the objective, so no other is considered.
   if (first && first->expected_total <= request.objective) return *first;
   std::optional<PlacementChoice> second;
   if (prefers_remote || MaySpill(now) || loads.local_slots <= 0) {
-    second = FindBest(request, prefers_remote, cold_rate, local_vms,
-                      prefers_remote ? local_load : remote_load, now, &details);
+    search.is_local = prefers_remote;
+    search.region_load = prefers_remote ? local_load : remote_load;
+    second = FindBest(search);
   }
   if (second &&
       (!first || second->expected_total * 3 / 2 < first->expected_total))
@@ -260,8 +278,6 @@
                    ? PlacementRefusal::kNoCapacity
                    : PlacementRefusal::kNoInstance;
   // Capacity becomes free as runs end, so the delay grows with the load.
-  const ServiceTimeModel::Times times =
-      service_times_.Expected(request.route, request.objective);
   const double fullness = std::clamp(local_load, 0.5, 3.0);
   out.retry_after = std::clamp(FromSeconds(ToSeconds(times.warm) * fullness),
                                kMinRetryAfter, kMaxRetryAfter);
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -117,6 +117,9 @@
   // this ratio of its objective, by priority and for retries after a refusal.
   static constexpr double kQueueLimits[] = {1.2, 1.0, 0.85};
   static constexpr double kRetryQueueLimit = 1.4;
+  // Run time on a healthy instance that counts towards that, as a ratio of the
+  // objective.
+  static constexpr double kMaxCountedRunRatio = 0.5;
   // Fraction of a region's instances ejected for bad responses above which
   // these ejections are ignored: the rest could not handle the load, and moving
   // objects to cold instances costs more than the failures.
@@ -184,22 +187,30 @@
   static bool IsPanic(const std::vector<Candidate>& ranked, TimePoint now);
   std::vector<Candidate> RankCandidates(const PlacementRequest& request,
                                         bool is_local, TimePoint now) const;
-  std::optional<PlacementChoice> FindBest(const PlacementRequest& request,
-                                          bool is_local, double cold_rate,
-                                          size_t local_vms, double region_load,
-                                          TimePoint now,
-                                          RefusalDetails* details) const;
+  // The inputs of one search for an instance of one region or of the others.
+  struct Search {
+    const PlacementRequest* request = nullptr;
+    bool is_local = false;
+    double cold_rate = 0;
+    size_t local_vms = 1;
+    double region_load = 0;  // per slot
+    TimePoint now{};
+    ServiceTimeModel::Times times;
+    size_t warm_ranks = 0;
+    RefusalDetails* details = nullptr;
+  };
+  std::optional<PlacementChoice> FindBest(Search search) const;
   // Returns why refusing this run is better for the region than admitting it,
-  // if it is. Records the times of a late run in `details`.
-  std::optional<RejectionCause> RejectionOf(const PlacementRequest& request,
-                                            const PlacementChoice& choice,
-                                            size_t warm_ranks,
-                                            double region_load, TimePoint now,
-                                            RefusalDetails* details) const;
+  // if it is. Records the times of a late run in the details.
+  std::optional<RejectionCause> RejectionOf(
+      const Search& search, const PlacementChoice& choice) const;
+  // Latest expected response that a full region accepts from an instance.
+  static Duration AcceptedLatency(const Search& search,
+                                  const PlacementChoice& choice);
   // Number of instances of an object's order that may hold it warm.
   size_t WarmRanks(const std::string& service, size_t instances) const;
-  PlacementChoice Evaluate(const PlacementRequest& request, const Candidate& it,
-                           size_t rank, bool is_local, TimePoint now) const;
+  PlacementChoice Evaluate(const Search& search, const Candidate& candidate,
+                           size_t rank) const;
   Loads LoadsOf(const std::string& service, TimePoint now);
   bool MaySpill(TimePoint now) const;
   bool PrefersRemote(const PlacementRequest& request) const;
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -417,6 +417,26 @@
 }
 
 // Guards against work for callers that have disconnected.
+// Guards against refusing every request of a route whose requests name no
+// object once the region is full (docs/incidents/config-added-routes.md).
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Route without objects, region full, is served") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& text) { return FullResponse(text); });
+  AddInstance("i1", instance.port);
+  REQUIRE(SendRequest(RequestText("/safe/x", "id0")).status == 200);
+  // A fifth more requests than the instance has slots.
+  placement.SetPeerLoads({{{"s", "r"}, 7.2}}, EventLoop::Now());
+  const auto timer =
+      loop.After(2 * Placement::kLoadCacheInterval, [this] { loop.Stop(); });
+  loop.Run();
+  for (int n = 1; n <= 3; ++n) {
+    const std::string id = "id" + std::to_string(n);
+    CHECK(SendRequest(RequestText("/safe/x", id)).status == 200);
+    CHECK(SendRequest(RequestText("/once/x", id)).status == 200);
+  }
+}
+
 TEST_CASE_FIXTURE(DataPathFixture,
                   "Caller, disconnects early, cancels an idempotent request") {
   ScriptedInstance instance(&loop, [](const std::string&) { return ""; });
