--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -176,6 +176,19 @@
     CHECK(settings.error().message.find("/bounds/" + name) !=
           std::string::npos);
   }
+  for (const char* it :
+       {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:80x", "10.0.0.1:65536",
+        "10.0.0.1:-1", "10.0.0:80", "10.0.0.1 :80", "host:80", ":80"}) {
+    CAPTURE(it);
+    Json wrong = valid;
+    wrong["store"] = it;
+    wrong["listen"]["lookups"] = it;
+    const Result<Settings> settings = ParseSettings(wrong.dump(), "file", 0);
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().message.find("/store") != std::string::npos);
+    CHECK(settings.error().message.find("/listen/lookups") !=
+          std::string::npos);
+  }
   Json unknown = valid;
   unknown["colour"] = 1;
   const Result<Settings> settings = ParseSettings(unknown.dump(), "file", 0);
