Bound the numbers, nesting and addresses of entries that others write

What could happen: an entry of another writer among those of the instances with a start or sequence number far too large shut out the instance for good, since every later entry counted as outdated; a huge cold_remaining_s overflowed the duration type; an address that is not IPv4 meant 0.0.0.0. Ends of the process by deep nesting or large numbers did not happen here: 200,000 levels and 1e999 were rejected before too, after building the whole document.

Entries of VMs must name an IPv4 address.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "base/json_reader.h"
+#include "config/ipv4.h"
 
 namespace rwf {
 namespace {
@@ -97,6 +98,7 @@
       static_cast<uint64_t>(reader.Integer("incarnation", 0, INT64_MAX));
   out.capacity.link_mbps = reader.Number("link_mbps", 0, kMaxLinkMbps, 0);
   out.capacity.cpu_share = reader.Number("cpu_share", 0, kMaxCpuShare, 0);
+  if (!ParseIpv4(out.address)) reader.AddProblem("address", "is not IPv4");
   if (!problems.empty())
     return Fail(JsonErrc::kSchema, FormatProblems(problems));
   return out;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -223,19 +223,28 @@
           std::get_if<std::shared_ptr<const Catalog>>(&change)) {
     Apply(*catalog);
   } else if (const auto* entry = std::get_if<InstanceEntry>(&change)) {
-    Apply(*entry);
+    const WallTime latest =
+        EventLoop::WallNow() +
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            kMaxClockDifference);
+    if (entry->info.started_ms > latest.time_since_epoch().count()) {
+      OnUnusable(item.key, {"/born: lies in the future", entry->info.id});
+    } else {
+      Apply(*entry);
+    }
   } else if (const auto* zone = std::get_if<EvacuatedZone>(&change)) {
     registry_.SetEvacuated(zone->zone, true);
     log_->State("zone_evacuated").Text("zone", zone->zone);
   } else if (const auto* unusable = std::get_if<UnusableEntry>(&change)) {
-    log_->State("entry_unusable")
-        .Text("key", item.key)
-        .Text("reason", unusable->reason);
-    if (!unusable->instance.empty())
-      RemoveInstance(unusable->instance, "unusable-entry");
+    OnUnusable(item.key, *unusable);
   }
 }
 
+void Gateway::OnUnusable(const std::string& key, const UnusableEntry& entry) {
+  log_->State("entry_unusable").Text("key", key).Text("reason", entry.reason);
+  if (!entry.instance.empty()) RemoveInstance(entry.instance, "unusable-entry");
+}
+
 void Gateway::OnRemoved(const std::string& key) {
   if (key.starts_with(kVmPrefix)) {
     fleet_.OnUnlisted(key.substr(kVmPrefix.size()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,9 @@
   // after the store is reachable.
   static constexpr Duration kReregistrationTimeout =
       std::chrono::milliseconds(2000);
+  // An entry whose instance is to start later than this from now is unusable:
+  // all later entries of the instance would count as outdated.
+  static constexpr Duration kMaxClockDifference = std::chrono::hours(24);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(150);
   // Fraction of stop_timeout in which new requests are accepted; the rest must
   // suffice for the longest request.
@@ -92,6 +95,7 @@
   void WriteSecret();
   void Apply(std::shared_ptr<const Catalog> catalog);
   void Apply(const InstanceEntry& entry);
+  void OnUnusable(const std::string& key, const UnusableEntry& entry);
   void RemoveInstance(const std::string& id, const char* reason);
   void EndEvacuation(const std::string& zone);
   void SetRetryBounds();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -89,7 +89,7 @@
   MemoryStore store{&loop};
   platform::Settings settings;
   const platform::Decoder decoder{{{"z", "r"}}};
-  const platform::ResponseNoticeDecoder notice_decoder;
+  const platform::ResponseNoticeDecoder notice_decoder{};
   int null_fd = open("/dev/null", O_WRONLY);
   EventLog log{&loop, null_fd, "v1"};
   HttpClient client{&loop, {}};
@@ -139,6 +139,35 @@
   CHECK(InstanceCount() == 1);
 }
 
+// Guards against a VM that ends or stops following the list because of an entry
+// of another writer, and against one that shuts out the instance for good.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance entries, odd ones among them, are followed on") {
+  store.Put("op/config", kConfig);
+  store.Put("servers/i1", EntryJson());
+  Start();
+  RunFor(300 * kMillisecond);
+  REQUIRE(InstanceCount() == 1);
+  const std::string future =
+      std::string(EntryJson())
+          .replace(EntryJson().find("\"born\":5"), 8, "\"born\":4102444799999");
+  const std::string odd[] = {std::string(100'000, '['),
+                             R"({"slots":1e999})",
+                             R"({"slots":99999999999999999999999})",
+                             "\xff\xfe\x80",
+                             "",
+                             future};
+  for (size_t n = 0; n < std::size(odd); ++n)
+    store.Put("servers/odd" + std::to_string(n), odd[n]);
+  store.Put("servers/i1", future);
+  RunFor(800 * kMillisecond);
+  CHECK(InstanceCount() == 0);
+  store.Put("servers/i1", EntryJson());
+  store.Put("servers/i2", EntryJson());
+  RunFor(800 * kMillisecond);
+  CHECK(InstanceCount() == 2);
+}
+
 // Guards against removing all instances when their leases expired during an
 // outage, and against keeping instances that never return, which once received
 // requests for 12 s.
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -106,7 +106,28 @@
       {"slots", 2.5},
       {"address", "10.0.0.1"},
       {"address", "10.0.0.1:0"},
-      {"address", "10.0.0.1:99999"}};
+      {"address", "10.0.0.1:99999"},
+      {"address", "10.0.0.1:80x"},
+      {"address", "10.0.0.1:-80"},
+      {"address", "10.0.0.256:80"},
+      {"address", "host:80"},
+      {"address", ":80"},
+      {"service", ""},
+      {"slots", -1},
+      {"slots", 100'001},
+      {"slots", UINT64_MAX},
+      {"slots", 1e300},
+      {"born", "1"},
+      {"born", -1},
+      {"born", 2.5},
+      {"born", UINT64_MAX},
+      {"born", INT64_MAX},
+      {"cold_remaining_s", -1},
+      {"cold_remaining_s", 1e300},
+      {"sequence", -1},
+      {"sequence", INT64_MAX},
+      {"sequence", UINT64_MAX},
+      {"sequence", 1e300}};
   for (const auto& [field, value] : invalid_values) {
     Json invalid = valid;
     invalid[field] = value;
@@ -121,6 +142,47 @@
   }
 }
 
+// Guards against an end of the process by an entry of another writer that is
+// nested too deeply, and against using what follows it.
+TEST_CASE_FIXTURE(DecoderFixture, "Entry, nested deeply, is unusable") {
+  for (const char* open : {"[", "{\"a\":"}) {
+    std::string text;
+    for (int n = 0; n < 200'000; ++n) text += open;
+    CHECK(std::holds_alternative<UnusableEntry>(Decode("servers/i-1", text)));
+    CHECK(std::holds_alternative<UnusableEntry>(Decode("op/config", text)));
+    const std::string in_field =
+        std::string(kInstanceEntry).insert(1, "\"extra\":" + text + ",");
+    const StoreChange change = Decode("servers/i-1", in_field);
+    REQUIRE(std::holds_alternative<UnusableEntry>(change));
+    CHECK(std::get<UnusableEntry>(change).reason.size() < 1000);
+  }
+}
+
+// Guards against undefined conversions of numbers that no type here can hold.
+TEST_CASE_FIXTURE(DecoderFixture,
+                  "Configuration, number too large, is limited or unusable") {
+  const Json valid = Json::parse(kConfig);
+  Json large = valid;
+  Json& rule = large["listeners"][0]["rules"][0];
+  rule["target_latency_s"] = 1e300;
+  rule["priority"] = 1e300;
+  rule["action"]["timeout_s"] = -1e300;
+  rule["action"]["max_attempts"] = -1e300;
+  large["tenants"][0]["priority"] = 1e300;
+  const StoreChange change = Decode("op/config", large.dump());
+  const auto* decoded = std::get_if<std::shared_ptr<const Catalog>>(&change);
+  REQUIRE(decoded != nullptr);
+  const TrafficRoute* route = (*decoded)->FindRoute("h.example", "/a/x");
+  CHECK(route->objective == std::chrono::hours(24));
+  CHECK(route->timeout == Duration::zero());
+  for (const Json& it : {Json(-1), Json(1e300), Json("7"), Json(nullptr)}) {
+    Json invalid = valid;
+    invalid["version"] = it;
+    CHECK(std::holds_alternative<UnusableEntry>(
+        Decode("op/config", invalid.dump())));
+  }
+}
+
 TEST_CASE_FIXTURE(DecoderFixture,
                   "Keys, of different kinds, are distinguished") {
   CHECK(std::get<EvacuatedZone>(Decode("op/evacuate/z", "{}")).zone == "z");
--- a/tests/platform/notice_decoder_test.cc
+++ b/tests/platform/notice_decoder_test.cc
@@ -17,7 +17,7 @@
     return decoder.Decode(status, headers);
   }
 
-  const ResponseNoticeDecoder decoder;
+  const ResponseNoticeDecoder decoder{};
 };
 
 TEST_CASE_FIXTURE(NoticeDecoderFixture,
