Do not attribute a response without an id on a kept connection

What could happen: an instance wrote an earlier refusal once more on a kept connection, without the id of its request. It was taken as the response to the current request: a request that must not be repeated ran at a second instance (TWICE), or its caller was told that it had not run (REFUSED). A repeated refusal that carries its id was skipped before too.

Change: on a connection that has served a request, a response without an id breaks the attempt, which says nothing about whether it ran; requests without an id of their own get a connection of their own. A counter tells how many.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -90,6 +90,10 @@
   metrics_.AddGauge("rwf_upstream_connections_reused_total",
                     "Requests sent on a reused connection",
                     [this] { return double(pool_.counters().reused); });
+  metrics_.AddGauge(
+      "rwf_upstream_unidentified_responses_total",
+      "Responses on reused connections that name no request",
+      [this] { return double(pool_.counters().unidentified_responses); });
   metrics_.AddGauge("rwf_open_requests", "Requests in progress",
                     [this] { return double(forwarder_->active_requests()); });
   metrics_.AddGauge("rwf_caller_connections", "Open connections of callers",
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -40,7 +40,10 @@
 
 UpstreamPool::SendId UpstreamPool::Send(const UpstreamTarget& target,
                                         Request request, Callback callback) {
-  Connection* it = TakeIdle(target, request.is_idempotent);
+  // Without an id, a response cannot be told from one to an earlier request.
+  Connection* it = request.request_id.empty()
+                       ? nullptr
+                       : TakeIdle(target, request.is_idempotent);
   const SendId id = next_id_++;
   const bool is_open = it != nullptr;
   if (!is_open) it = Open(target);
@@ -128,6 +131,20 @@
   it->pool->ReadResponse(it);
 }
 
+UpstreamPool::ResponseOrigin UpstreamPool::OriginOf(
+    const Connection& it, const ReceivedMessage& response) {
+  const std::string& id = response.headers.Get(it.request.id_header);
+  // On a reused connection, a response without an id may be an earlier one that
+  // was sent again. If it says that its request has not run, this need not hold
+  // for the current request.
+  if (id.empty()) {
+    return it.was_used ? ResponseOrigin::kUnknown
+                       : ResponseOrigin::kCurrentRequest;
+  }
+  return id == it.request.request_id ? ResponseOrigin::kCurrentRequest
+                                     : ResponseOrigin::kEarlierRequest;
+}
+
 void UpstreamPool::ReadResponse(Connection* it) {
   evbuffer* buf = bufferevent_get_input(it->bev);
   while (evbuffer_get_length(buf) > 0) {
@@ -150,8 +167,13 @@
         break;
     }
     ReceivedMessage response = it->parser.Take();
-    const std::string& id = response.headers.Get(it->request.id_header);
-    if (!id.empty() && id != it->request.request_id) {
+    const ResponseOrigin origin = OriginOf(*it, response);
+    if (origin == ResponseOrigin::kUnknown) {
+      ++counters_.unidentified_responses;
+      Complete(it, {SendOutcome::kBroken, {}, it->was_used, true}, false);
+      return;
+    }
+    if (origin == ResponseOrigin::kEarlierRequest) {
       // A late duplicate response to an earlier request. The response to the
       // current request follows it.
       ++counters_.mismatched_responses;
@@ -199,8 +221,7 @@
   if ((what & BEV_EVENT_EOF) != 0) it->parser.FeedEof();
   if (it->parser.state() == ParseState::kComplete) {
     ReceivedMessage response = it->parser.Take();
-    const std::string& id = response.headers.Get(it->request.id_header);
-    if (id.empty() || id == it->request.request_id) {
+    if (OriginOf(*it, response) == ResponseOrigin::kCurrentRequest) {
       pool->Complete(
           it,
           {SendOutcome::kResponded, std::move(response), it->was_used, true},
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -75,7 +75,8 @@
     uint64_t opened = 0;
     uint64_t reused = 0;
     uint64_t connect_failures = 0;
-    uint64_t mismatched_responses = 0;  // responses to earlier requests
+    uint64_t mismatched_responses = 0;    // responses to earlier requests
+    uint64_t unidentified_responses = 0;  // on reused connections
   };
 
   explicit UpstreamPool(EventLoop* loop);
@@ -121,6 +122,13 @@
   Connection* Open(const UpstreamTarget& target);
   void Write(Connection* it);
   void ReadResponse(Connection* it);
+  enum class ResponseOrigin : uint8_t {
+    kCurrentRequest,
+    kEarlierRequest,
+    kUnknown,  // it names no request, and there were several
+  };
+  static ResponseOrigin OriginOf(const Connection& it,
+                                 const ReceivedMessage& response);
   void Complete(Connection* it, const SendResult& result, bool keep_open);
   void Remove(Connection* it);
   void CloseExpired();
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -406,6 +406,59 @@
   CHECK(pool.connections() == 0);
 }
 
+class RepeatedRefusalFixture : public DataPathFixture {
+ public:
+  struct Row {
+    const char* name;
+    bool has_id;
+    bool has_response;
+    int status;
+  };
+
+  // The first request is answered, on the second the instance repeats a refusal
+  // of the first.
+  void Check(const Row& row) {
+    std::string earlier_id;
+    ScriptedInstance first(&loop, [&](const std::string& text) {
+      const std::string id = RequestIdOf(text);
+      if (earlier_id.empty()) {
+        earlier_id = id;
+        return FullResponse(text);
+      }
+      const std::string field = "X-Request-Id: " + id + "\r\n";
+      std::string refusal = ShedResponse(text);
+      refusal.replace(refusal.find(field), field.size(),
+                      row.has_id ? "X-Request-Id: " + earlier_id + "\r\n" : "");
+      return refusal + (row.has_response ? FullResponse(text) : "");
+    });
+    AddInstance("i1", first.port);
+    REQUIRE(SendRequest(RequestText("/once/x", "id1")).status == 200);
+    // It could run the request again.
+    ScriptedInstance second(
+        &loop, [](const std::string& text) { return FullResponse(text); });
+    AddInstance("i2", second.port);
+    // Full, so that the first instance is preferred.
+    registry.Find("i2")->OnReport(12, 0, EventLoop::Now());
+    CHECK(SendRequest(RequestText("/once/x", "id2")).status == row.status);
+    CHECK(first.requests == 2);
+    CHECK(second.requests == 0);
+  }
+};
+
+// Guards against telling a caller that its request has not run, or running it
+// at a second instance, because an instance wrote an earlier refusal once more
+// on a kept connection.
+TEST_CASE("Instance, repeats an earlier refusal, is not believed") {
+  using Row = RepeatedRefusalFixture::Row;
+  for (const Row& row :
+       {Row{"with its id, then the response", true, true, 200},
+        Row{"without an id, then the response", false, true, 502},
+        Row{"without an id, alone", false, false, 502}}) {
+    CAPTURE(row.name);
+    RepeatedRefusalFixture().Check(row);
+  }
+}
+
 // Guards against callers that wait beyond the timeout of the route, and against
 // attempts that outlive it.
 TEST_CASE_FIXTURE(
