Apply the same check of ids to the daemon's HTTP client

Cause: as in the upstream pool, HttpClient took a response without an id on a kept connection for the one to the current request, so redwingferryd could tell a caller that a running request had not run.

Change: for a request with an id, such a response on a connection that has served another request is a mismatch. The test server and the upstream double now echo the id in every response, as docs/INTERFACES.md demands of upstreams; their checks are as before.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -100,6 +100,7 @@
   void ResetSent() { sent_bytes_ = 0; }
 
   TimePoint idle_since{};
+  bool has_served = false;  // a request before the current one
 
  private:
   static void CountSent(evbuffer*, const evbuffer_cb_info* info, void* self) {
@@ -228,6 +229,7 @@
   if (idle.size() >= limits_.max_idle_per_target || !connection->IsReusable())
     return;
   connection->idle_since = EventLoop::Now();
+  connection->has_served = true;
   idle.push_back(std::move(connection));
 }
 
@@ -250,8 +252,9 @@
   const std::string& echoed_id = outcome.response.headers.Get("X-Request-Id");
   if (!IsFramed(call.method, outcome.response)) {
     outcome.ec = NetErrc::kUnframed;
-  } else if (!echoed_id.empty() && !call.request_id.empty() &&
-             echoed_id != call.request_id) {
+  } else if (!call.request_id.empty() && echoed_id != call.request_id &&
+             (!echoed_id.empty() || call.connection->has_served)) {
+    // On a reused connection, a response without an id may be an earlier one.
     outcome.ec = NetErrc::kRequestIdMismatch;
   }
   const bool may_reuse =
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -37,7 +37,10 @@
     "HttpClient, complete response, is delivered and the connection reused") {
   HttpServer server(
       &loop, {}, [](const std::shared_ptr<HttpExchange>& exchange) {
-        exchange->Respond(JsonResponse(200, exchange->request().path));
+        HttpResponse response = JsonResponse(200, exchange->request().path);
+        response.headers.Add(
+            "X-Request-Id", exchange->request().headers.Get("X-Request-Id"));
+        exchange->Respond(response);
       });
   const uint16_t port = server.Listen("127.0.0.1", 0).value();
   for (int n = 0; n < 3; ++n) {
@@ -109,6 +112,20 @@
   }
 }
 
+// Guards against taking an earlier response that an upstream sends again for
+// the one to the current request.
+TEST_CASE_FIXTURE(
+    HttpClientFixture,
+    "HttpClient, response without an id on a kept connection, is a mismatch") {
+  RawServer server(&loop, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+                   /*keeps_open=*/true);
+  CHECK(Call(server.port()).response.status == 503);
+  const HttpOutcome out = Call(server.port());
+  CHECK(out.ec == NetErrc::kRequestIdMismatch);
+  CHECK(out.was_sent);
+  CHECK(client.connections({"127.0.0.1", server.port()}) == 0);
+}
+
 TEST_CASE_FIXTURE(
     HttpClientFixture,
     "HttpClient, no response in time, fails at the deadline as sent") {
--- a/tools/upstream/instance.cc
+++ b/tools/upstream/instance.cc
@@ -81,7 +81,9 @@
   if (request.headers.Has("X-Api-Key") ||
       request.headers.Has("Authorization")) {
     ++counters_["leaked_keys"];
-    return exchange->Respond(JsonResponse(400, R"({"code":"leaked-key"})"));
+    HttpResponse refusal = JsonResponse(400, R"({"code":"leaked-key"})");
+    refusal.headers.Add("X-Request-Id", request.headers.Get("X-Request-Id"));
+    return exchange->Respond(refusal);
   }
   if (options_.connections > 0 &&
       server_->connections() > static_cast<size_t>(options_.connections)) {
