Bound responses that come without end

What could happen: trailers and interim responses were not counted, so that an instance could keep an attempt busy with them until its deadline, and callers could send trailers beyond the limit on heads; incomplete bodies were bounded at 32 MB each but not together, more than the memory of a VM.

Change: trailers count as part of the head, at most 16 interim responses precede a final one, heads of responses are bounded at 64 KB, and above 64 MB of incomplete responses the largest is given up.

Before, 2 cases of http_test failed (trailers of 2,000 bytes within a limit of 1,000; 100 interim responses). New rows of Instance, each kind of failure, yields the right status, and Responses, incomplete ones above the bound, lose the largest, pass.

--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -128,7 +128,30 @@
     it->pool->Remove(it);
     return;
   }
-  it->pool->ReadResponse(it);
+  UpstreamPool* pool = it->pool;
+  pool->ReadResponse(it);
+  pool->LimitBufferedBytes();
+}
+
+void UpstreamPool::SetBuffered(Connection* it, size_t bytes) {
+  buffered_bytes_ += bytes - it->buffered_bytes;
+  it->buffered_bytes = bytes;
+}
+
+void UpstreamPool::LimitBufferedBytes() {
+  while (buffered_bytes_ > kMaxBufferedBytes) {
+    const auto largest = std::max_element(
+        busy_.begin(), busy_.end(), [](const auto& a, const auto& b) {
+          return a.second->buffered_bytes < b.second->buffered_bytes;
+        });
+    Connection* it = largest->second;
+    Complete(it, {SendOutcome::kBroken, {}, it->was_used, true}, false);
+  }
+}
+
+void UpstreamPool::EraseConnection(Connection* it) {
+  SetBuffered(it, 0);
+  connections_.erase(it);
 }
 
 UpstreamPool::ResponseOrigin UpstreamPool::OriginOf(
@@ -153,6 +176,7 @@
     const size_t n = it->parser.Feed(
         {static_cast<const char*>(chunk.iov_base), chunk.iov_len});
     evbuffer_drain(buf, n);
+    SetBuffered(it, it->parser.message().body.size());
     switch (it->parser.state()) {
       case ParseState::kHead:
       case ParseState::kBody:
@@ -167,6 +191,7 @@
         break;
     }
     ReceivedMessage response = it->parser.Take();
+    SetBuffered(it, 0);
     const ResponseOrigin origin = OriginOf(*it, response);
     if (origin == ResponseOrigin::kUnknown) {
       ++counters_.unidentified_responses;
@@ -247,7 +272,7 @@
     it->idle_since = EventLoop::Now();
     idle_list.push_back(it);
   } else {
-    connections_.erase(it);
+    EraseConnection(it);
   }
   callback(result);
 }
@@ -257,12 +282,12 @@
   if (it == busy_.end()) return;
   Connection* connection = it->second;
   busy_.erase(it);
-  connections_.erase(connection);
+  EraseConnection(connection);
 }
 
 void UpstreamPool::Remove(Connection* it) {
   std::erase(idle_[it->target.instance], it);
-  connections_.erase(it);
+  EraseConnection(it);
 }
 
 void UpstreamPool::CloseIdleConnections(const std::string& instance) {
@@ -270,7 +295,7 @@
   if (it == idle_.end()) return;
   const std::vector<Connection*> idle_list = std::move(it->second);
   idle_.erase(it);
-  for (Connection* connection : idle_list) connections_.erase(connection);
+  for (Connection* connection : idle_list) EraseConnection(connection);
 }
 
 void UpstreamPool::CloseExpired() {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -60,7 +60,11 @@
   // TCP user timeout. If bytes stay unacknowledged for this long, the instance
   // or its network has failed.
   static constexpr unsigned kUserTimeoutMs = 2000;
+  static constexpr size_t kMaxResponseHeadBytes = 64 << 10;
   static constexpr size_t kMaxResponseBytes = 32 << 20;
+  // Incomplete responses of all connections together. Above it, the largest is
+  // given up: an instance may send bytes without end.
+  static constexpr size_t kMaxBufferedBytes = 64 << 20;
   static constexpr size_t kMaxIdlePerInstance = 16;
 
   struct Request {
@@ -93,6 +97,7 @@
   void CloseIdleConnections(const std::string& instance);
 
   const Counters& counters() const { return counters_; }
+  size_t buffered_bytes() const { return buffered_bytes_; }
   size_t connections() const { return connections_.size(); }
 
  private:
@@ -102,7 +107,9 @@
     UpstreamTarget target;
     bufferevent* bev = nullptr;
     State state = State::kConnecting;
-    MessageParser parser{HttpMessageType::kResponse, {0, kMaxResponseBytes}};
+    MessageParser parser{HttpMessageType::kResponse,
+                         {kMaxResponseHeadBytes, kMaxResponseBytes}};
+    size_t buffered_bytes = 0;  // of the incomplete response
     SendId send_id = 0;
     Request request;
     Callback callback;
@@ -131,6 +138,10 @@
                                  const ReceivedMessage& response);
   void Complete(Connection* it, const SendResult& result, bool keep_open);
   void Remove(Connection* it);
+  void EraseConnection(Connection* it);
+  void SetBuffered(Connection* it, size_t bytes);
+  // Gives up the largest incomplete responses above kMaxBufferedBytes.
+  void LimitBufferedBytes();
   void CloseExpired();
 
   EventLoop* loop_;
@@ -139,6 +150,7 @@
   std::unordered_map<SendId, Connection*> busy_;
   std::map<std::string, std::vector<Connection*>> idle_;
   std::unique_ptr<Timer> timer_;
+  size_t buffered_bytes_ = 0;
   Counters counters_;
 };
 
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -60,6 +60,7 @@
   has_value_ = false;
   has_begun_ = false;
   head_bytes_ = 0;
+  interim_responses_ = 0;
   is_head_response_ = is_head_response;
 }
 
@@ -122,8 +123,8 @@
 
 int MessageParser::HandleField(http_parser* raw, const char* data, size_t n) {
   MessageParser* self = Self(raw);
-  // Trailers of a chunked body are discarded.
-  if (self->state_ == ParseState::kBody) return 0;
+  // Trailers of a chunked body are discarded, but count as part of the head.
+  if (self->state_ == ParseState::kBody) return self->CountHeadBytes(n) ? 0 : 1;
   if (self->has_value_) self->FlushField();
   self->field_.append(data, n);
   return self->CountHeadBytes(n) ? 0 : 1;
@@ -131,7 +132,7 @@
 
 int MessageParser::HandleValue(http_parser* raw, const char* data, size_t n) {
   MessageParser* self = Self(raw);
-  if (self->state_ == ParseState::kBody) return 0;
+  if (self->state_ == ParseState::kBody) return self->CountHeadBytes(n) ? 0 : 1;
   self->has_value_ = true;
   self->value_.append(data, n);
   return self->CountHeadBytes(n) ? 0 : 1;
@@ -168,6 +169,10 @@
   // Interim (1xx) responses precede the final response and are skipped.
   if (self->type_ == HttpMessageType::kResponse && raw->status_code >= 100 &&
       raw->status_code < 200) {
+    if (++self->interim_responses_ > kMaxInterimResponses) {
+      self->state_ = ParseState::kHeadTooLarge;
+      return 1;
+    }
     self->message_ = ReceivedMessage{};
     self->state_ = ParseState::kHead;
     return 0;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -76,6 +76,9 @@
   static MessageParser* Self(http_parser* raw) {
     return static_cast<MessageParser*>(raw->data);
   }
+  // Interim responses that may precede one final response.
+  static constexpr int kMaxInterimResponses = 16;
+
   bool CountHeadBytes(size_t n);
   void FlushField();
 
@@ -89,7 +92,8 @@
   bool has_value_ = false;
   bool has_begun_ = false;
   bool is_head_response_ = false;
-  size_t head_bytes_ = 0;
+  size_t head_bytes_ = 0;  // including trailers
+  int interim_responses_ = 0;
 };
 
 // Serialize a message whose body is delimited by Content-Length.
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -327,6 +327,34 @@
              "HTTP/1.1 421 X\r\nX-Instance-Id: z\r\nContent-Length: 0\r\n\r\n");
        },
        200, 200, true},
+      {"head without end",
+       [](const std::string&) {
+         return "HTTP/1.1 200 X\r\nA: " + std::string(200'000, 'x');
+       },
+       200, 502, false},
+      {"interim responses without end",
+       [](const std::string&) {
+         std::string out;
+         for (int n = 0; n < 10'000; ++n) out += "HTTP/1.1 102 X\r\n\r\n";
+         return out;
+       },
+       200, 502, false},
+      {"body without end",
+       [](const std::string& it) {
+         return "HTTP/1.1 200 X\r\nX-Request-Id: " + RequestIdOf(it) +
+                "\r\nX-Server-Stamp: s\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n5000000\r\n" +
+                std::string(UpstreamPool::kMaxResponseBytes + 1, 'x');
+       },
+       200, 502, false},
+      {"trailers without end",
+       [](const std::string& it) {
+         return "HTTP/1.1 200 X\r\nX-Request-Id: " + RequestIdOf(it) +
+                "\r\nX-Server-Stamp: s\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n0\r\nA: " +
+                std::string(200'000, 'x');
+       },
+       200, 502, false},
       {"closes without a response",
        [](const std::string&) { return std::string("CLOSE"); }, 200, 502,
        false},
@@ -406,6 +434,38 @@
   CHECK(pool.connections() == 0);
 }
 
+// Guards against running out of memory when several instances send responses
+// without end, and against giving up a small response for them.
+TEST_CASE_FIXTURE(
+    DataPathFixture,
+    "Responses, incomplete ones above the bound, lose the largest") {
+  constexpr size_t kLarge = 30 << 20;
+  std::vector<std::unique_ptr<ScriptedInstance>> instances;
+  int broken = 0;
+  for (size_t n = 0; n < 4; ++n) {
+    const size_t size = n == 0 ? 1000 : kLarge;
+    instances.push_back(
+        std::make_unique<ScriptedInstance>(&loop, [size](const std::string&) {
+          return "HTTP/1.1 200 X\r\nContent-Length: 31457281\r\n\r\n" +
+                 std::string(size, 'x');
+        }));
+    const std::string id = "i" + std::to_string(n);
+    pool.Send({id, "127.0.0.1", instances.back()->port},
+              {"GET / HTTP/1.1\r\n\r\n", id, "X-Request-Id", false, true},
+              [&, n](const SendResult& it) {
+                CHECK(it.outcome == SendOutcome::kBroken);
+                CHECK(n != 0);
+                ++broken;
+              });
+  }
+  const auto timer =
+      loop.After(std::chrono::milliseconds(1500), [this] { loop.Stop(); });
+  loop.Run();
+  CHECK(broken == 1);
+  CHECK(pool.buffered_bytes() == 2 * kLarge + 1000);
+  CHECK(pool.buffered_bytes() <= UpstreamPool::kMaxBufferedBytes);
+}
+
 class RepeatedRefusalFixture : public DataPathFixture {
  public:
   struct Row {
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -88,6 +88,9 @@
        ParseState::kHeadTooLarge},
       {"POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n12345678901234567",
        ParseState::kBodyTooLarge},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " +
+           std::string(2000, 'x') + "\r\n\r\n",
+       ParseState::kHeadTooLarge},
   };
   for (const Row& row : rows) {
     CAPTURE(row.text);
@@ -108,6 +111,15 @@
   CHECK(parser.message().status == 200);
 }
 
+// Guards against reading interim responses without end.
+TEST_CASE_FIXTURE(ResponseFixture,
+                  "Response, after many interim ones, is rejected") {
+  std::string text;
+  for (int n = 0; n < 100; ++n) text += "HTTP/1.1 100 Continue\r\n\r\n";
+  parser.Feed(text);
+  CHECK(parser.state() == ParseState::kHeadTooLarge);
+}
+
 // Guards against hop-by-hop header fields reaching the next hop.
 TEST_CASE("Headers, forwarded, lose hop-by-hop fields") {
   HttpHeaders headers;
