Heed instances that say they are leaving or want a pause

Callers could be sent to an instance that had said in its responses that it is about to end (Server-Leaving), and requests went on to one that had turned a request away and asked for a pause (Retry-After with 503).

InstanceNotices answers with the state of the instance: leaving (until a new process; peers are told), waiting (this VM alone; at its end one request at a time tests the instance) or limited. Such an instance gets no attempt of any kind, is neither failed nor ejected, and a caller that finds no other is refused at once with the soonest true time. What instances say of themselves is not passed on to callers.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -49,6 +49,7 @@
   out->age_ms = static_cast<uint32_t>(
       std::clamp<int64_t>(ToMillis(it.age), 0, UINT32_MAX));
   out->rate_limit = it.notice.rate_limit.value_or(-1);
+  out->is_leaving = it.notice.is_leaving;
   return out;
 }
 
@@ -57,6 +58,7 @@
   out.instance = it.instance;
   out.started_ms = it.started_ms;
   out.age = std::chrono::milliseconds(it.age_ms);
+  out.notice.is_leaving = it.is_leaving;
   if (it.rate_limit >= 0) out.notice.rate_limit = it.rate_limit;
   return out;
 }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -58,7 +58,9 @@
       .Text("instance", instance)
       .Text("heard_by", peer.empty() ? "self" : peer)
       .Millis("age_ms", age)
-      .Real("rate_limit", notice.rate_limit.value_or(-1));
+      .Real("rate_limit", notice.rate_limit.value_or(-1))
+      .Flag("leaving", notice.is_leaving)
+      .Millis("wait_ms", notice.wait.value_or(Duration::zero()));
 }
 
 Forwarder::Forwarder(ForwarderDependencies deps) : deps_(std::move(deps)) {}
@@ -356,23 +358,29 @@
   const Attempt attempt = *pos;
   it->attempts.erase(pos);
   it->last_attempt = attempt;
-  AttemptOutcome outcome =
+  const AttemptOutcome outcome =
       ClassifyResult(*deps_.header_names, it->request_id, result);
   const bool is_from_instance = outcome != AttemptOutcome::kConnectFailed &&
                                 outcome != AttemptOutcome::kBroken &&
                                 outcome != AttemptOutcome::kMisdirected;
-  if (is_from_instance && RecordNotice(*it, attempt, result.response, now) &&
-      outcome == AttemptOutcome::kShed)
-    outcome = AttemptOutcome::kDeclined;
+  const bool has_notice =
+      is_from_instance && RecordNotice(*it, attempt, result.response, now);
+  // What the instance has announced is no failure.
+  const bool is_declined =
+      has_notice && (outcome == AttemptOutcome::kShed ||
+                     (outcome == AttemptOutcome::kInstanceError &&
+                      result.response.status == 503));
   InstanceState* state = deps_.registry->Find(attempt.instance);
   // The instance may close a reused connection at any time, so this is not
   // counted against its health.
   const bool is_stale_connection = outcome == AttemptOutcome::kBroken &&
                                    result.was_reused &&
                                    !result.has_response_begun;
-  FinishAttempt(*it, attempt,
-                is_stale_connection ? AttemptOutcome::kCancelled : outcome,
-                now);
+  const AttemptOutcome health_outcome =
+      is_stale_connection ? AttemptOutcome::kCancelled
+      : is_declined       ? AttemptOutcome::kDeclined
+                          : outcome;
+  FinishAttempt(*it, attempt, health_outcome, now);
   if (result.outcome == SendOutcome::kResponded)
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
@@ -388,17 +396,18 @@
   }
   const bool is_not_run = outcome == AttemptOutcome::kConnectFailed ||
                           outcome == AttemptOutcome::kShed ||
-                          outcome == AttemptOutcome::kDeclined ||
                           outcome == AttemptOutcome::kMisdirected;
   if (!is_not_run) it->may_have_run = true;
   if (outcome == AttemptOutcome::kConnectFailed) {
     --it->send_count;
     ++it->connect_failures;
   }
-  deps_.metrics->CountUpstreamFailure(AttemptOutcomeName(outcome));
+  const char* cause =
+      AttemptOutcomeName(is_declined ? AttemptOutcome::kDeclined : outcome);
+  deps_.metrics->CountUpstreamFailure(cause);
   deps_.log->Request("attempt_failed", it->request_id)
       .Text("instance", attempt.instance)
-      .Text("cause", AttemptOutcomeName(outcome))
+      .Text("cause", cause)
       .Number("status", result.response.status)
       .Flag("kept_connection", result.was_reused)
       .Millis("took_ms", now - attempt.started_at)
@@ -408,23 +417,26 @@
 
 bool Forwarder::RecordNotice(const Exchange& it, const Attempt& attempt,
                              const ReceivedMessage& response, TimePoint now) {
-  const DecodedNotice decoded =
-      deps_.notice_decoder->Decode(response.status, response.headers);
+  const DecodedNotice decoded = deps_.notice_decoder->Decode(
+      response.status, response.headers, EventLoop::WallNow());
   if (!decoded.problem.empty()) {
     deps_.log->Request("notice_unusable", it.request_id)
         .Text("instance", attempt.instance)
         .Text("reason", decoded.problem);
-    return false;
   }
   const InstanceState* state = deps_.registry->Find(attempt.instance);
   // The response may be from an earlier process of the instance.
   if (state == nullptr ||
       state->info().started_ms != attempt.instance_started_ms)
     return false;
-  if (deps_.notices->OnResponse(state->info(), decoded.notice, now))
-    LogNotice(deps_.log, attempt.instance, decoded.notice, "",
-              Duration::zero());
-  return decoded.notice != InstanceNotice{};
+  InstanceNotice notice = decoded.notice;
+  if (!decoded.is_rate_limit_usable)
+    notice.rate_limit = deps_.notices->RateLimit(state->info());
+  if (deps_.notices->OnResponse(state->info(), notice, now)) {
+    LogNotice(deps_.log, attempt.instance, notice, "", Duration::zero());
+    if (notice.is_leaving) deps_.pool->CloseIdleConnections(attempt.instance);
+  }
+  return notice != InstanceNotice{};
 }
 
 bool Forwarder::TakeRetryBudget(const Exchange& it, TimePoint now) {
@@ -530,8 +542,10 @@
       static_cast<double>(response.body.size() + it->request.body.size());
   mean_bytes_per_request_ += kMeanBytesGain * (bytes - mean_bytes_per_request_);
   if (!it->caller_disconnected) {
-    deps_.front->Reply(it->caller, response.status,
-                       ForwardableHeaders(response.headers), response.body);
+    HttpHeaders headers = ForwardableHeaders(response.headers);
+    for (const std::string& name : deps_.header_names->instance_notices)
+      headers.Remove(name);
+    deps_.front->Reply(it->caller, response.status, headers, response.body);
   }
   FinishExchange(it, "answered", response.status, instance);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,6 +103,13 @@
   metrics_.AddGauge("rwf_instances_limited",
                     "Upstream instances that name a limit of requests",
                     [this] { return double(notices_.limited()); });
+  metrics_.AddGauge("rwf_instances_leaving",
+                    "Upstream instances that say they are leaving",
+                    [this] { return double(notices_.leaving()); });
+  metrics_.AddGauge(
+      "rwf_instances_waiting",
+      "Upstream instances that have asked this VM for a pause",
+      [this] { return double(notices_.waiting(EventLoop::Now())); });
   metrics_.AddGauge("rwf_peers", "Known peer VMs",
                     [this] { return double(fleet_.size()); });
   metrics_.AddGauge(
@@ -155,6 +162,7 @@
       [this](const std::string& vm, const SharedNotice& it) {
         if (!notices_.OnShared(it, EventLoop::Now())) return;
         LogNotice(log_, it.instance, it.notice, vm, it.age);
+        if (it.notice.is_leaving) pool_.CloseIdleConnections(it.instance);
       });
 }
 
@@ -363,6 +371,7 @@
   if (registry_.Find(id) == nullptr) return;
   log_->State("instance_gone").Text("instance", id).Text("reason", reason);
   crashes_.OnInstanceEnded(id, EventLoop::Now());
+  if (registry_.Find(id)->info().started_ms == 0) notices_.Forget(id);
   registry_.Remove(id);
   pool_.CloseIdleConnections(id);
   lapsed_instances_.erase(id);
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace rwf {
 
@@ -20,6 +21,9 @@
   std::string retry_after;        // to callers: delay in seconds
   std::string key;                // from callers: "SCHEME KEY"
   std::string key_scheme;
+  // From upstreams: what instances say of themselves. Not passed on to callers,
+  // who do not choose the instance.
+  std::vector<std::string> instance_notices;
   friend bool operator==(const HeaderNames&, const HeaderNames&) = default;
 };
 
--- a/src/gateway/notice_decoder.h
+++ b/src/gateway/notice_decoder.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "base/time.h"
 #include "net/http_message.h"
 #include "traffic/instance_notices.h"
 
@@ -9,8 +10,11 @@
 
 struct DecodedNotice {
   InstanceNotice notice;
-  // Names the header field that cannot be used, and why; empty if all can. The
-  // notice is then to be ignored.
+  // False if a rate limit is named that cannot be used, so that the limit known
+  // before holds.
+  bool is_rate_limit_usable = true;
+  // Names the header field that cannot be used as it is, and why; empty if all
+  // can.
   std::string problem;
   friend bool operator==(const DecodedNotice&, const DecodedNotice&) = default;
 };
@@ -20,8 +24,8 @@
 class NoticeDecoder {
  public:
   virtual ~NoticeDecoder() = default;
-  virtual DecodedNotice Decode(int status,
-                               const HttpHeaders& headers) const = 0;
+  virtual DecodedNotice Decode(int status, const HttpHeaders& headers,
+                               WallTime now) const = 0;
 };
 
 }  // namespace rwf
--- a/src/traffic/instance_notices.cc
+++ b/src/traffic/instance_notices.cc
@@ -23,13 +23,17 @@
   if (started_ms < state.started_ms) return false;
   if (started_ms > state.started_ms) {
     limiter_.RemoveLimit(id);
-    state = State{started_ms, {}, {}, false};
-  } else if (heard_at < state.heard_at) {
-    return false;
+    state = State{};
+    state.started_ms = started_ms;
   }
+  // A process that leaves does not come back, however old the notice is.
+  const bool is_leaving = state.notice.is_leaving || notice.is_leaving;
+  const bool is_leaving_news = is_leaving != state.notice.is_leaving;
+  state.notice.is_leaving = is_leaving;
+  if (heard_at < state.heard_at) return is_leaving_news;
   state.heard_at = heard_at;
-  if (notice == state.notice) return false;
-  state.notice = notice;
+  if (notice.rate_limit == state.notice.rate_limit) return is_leaving_news;
+  state.notice.rate_limit = notice.rate_limit;
   if (notice.rate_limit) {
     const double rate = std::max(kMinRate, *notice.rate_limit);
     limiter_.SetLimit(id, rate, rate * ToSeconds(kBurst), now);
@@ -41,9 +45,24 @@
 
 bool InstanceNotices::OnResponse(const InstanceInfo& instance,
                                  const InstanceNotice& notice, TimePoint now) {
-  if (!Update(instance.id, instance.started_ms, notice, now, now)) return false;
-  states_[instance.id].is_changed = true;
-  return true;
+  const bool is_news =
+      Update(instance.id, instance.started_ms, notice, now, now);
+  const auto it = states_.find(instance.id);
+  if (it == states_.end()) return false;
+  State& state = it->second;
+  if (state.started_ms != instance.started_ms) return false;
+  state.is_changed = state.is_changed || is_news;
+  if (!notice.wait) {
+    // A response to an earlier request does not end a wait.
+    if (now >= state.wait_until) state.needs_test = false;
+    return is_news;
+  }
+  const TimePoint until = now + *notice.wait;
+  const bool is_longer = until > state.wait_until;
+  const bool was_waiting = now < state.wait_until;
+  if (is_longer) state.wait_until = until;
+  state.needs_test = true;
+  return is_news || (is_longer && !was_waiting);
 }
 
 bool InstanceNotices::OnShared(const SharedNotice& shared, TimePoint now) {
@@ -76,27 +95,60 @@
   return state == nullptr ? std::nullopt : state->notice.rate_limit;
 }
 
-bool InstanceNotices::IsOpen(const InstanceInfo& instance, TimePoint now) {
-  return Find(instance) == nullptr || limiter_.HasToken(instance.id, now);
+InstanceAvailability InstanceNotices::AvailabilityOf(
+    const InstanceInfo& instance, TimePoint now) {
+  const State* state = Find(instance);
+  if (state == nullptr) return InstanceAvailability::kOpen;
+  if (state->notice.is_leaving) return InstanceAvailability::kLeaving;
+  const bool is_tested =
+      state->needs_test && now - state->tested_at < kTestTimeout;
+  if (now < state->wait_until || is_tested)
+    return InstanceAvailability::kWaiting;
+  return limiter_.HasToken(instance.id, now) ? InstanceAvailability::kOpen
+                                             : InstanceAvailability::kLimited;
+}
+
+bool InstanceNotices::IsLeaving(const InstanceInfo& instance) const {
+  const State* state = Find(instance);
+  return state != nullptr && state->notice.is_leaving;
 }
 
 Duration InstanceNotices::TimeUntilOpen(const InstanceInfo& instance,
                                         TimePoint now) {
-  return Find(instance) == nullptr ? Duration::zero()
-                                   : limiter_.TimeUntilToken(instance.id, now);
+  const State* state = Find(instance);
+  if (state == nullptr) return Duration::zero();
+  if (state->notice.is_leaving) return Duration::max();
+  Duration out = std::max(Duration::zero(), state->wait_until - now);
+  if (state->needs_test)
+    out = std::max(out, state->tested_at + kTestTimeout - now);
+  return std::max(out, limiter_.TimeUntilToken(instance.id, now));
 }
 
 void InstanceNotices::OnSent(const InstanceInfo& instance, TimePoint now) {
-  if (Find(instance) != nullptr) limiter_.TryAdmit(instance.id, now);
+  if (Find(instance) == nullptr) return;
+  states_[instance.id].tested_at = now;
+  limiter_.TryAdmit(instance.id, now);
 }
 
 void InstanceNotices::OnDeclined(const InstanceInfo& instance, TimePoint now) {
   if (Find(instance) != nullptr) limiter_.OnDeclined(instance.id, now);
 }
 
+void InstanceNotices::Forget(const std::string& instance) {
+  states_.erase(instance);
+  limiter_.RemoveLimit(instance);
+}
+
+bool InstanceNotices::IsExpired(const State& state, TimePoint now) {
+  if (now < state.wait_until) return false;
+  const Duration retention =
+      state.notice.is_leaving ? kLeavingRetention : kRetention;
+  return now - state.heard_at > retention;
+}
+
 void InstanceNotices::RemoveExpired(TimePoint now) {
   std::erase_if(states_, [&](const auto& it) {
-    const bool is_expired = now - it.second.heard_at > kRetention;
+    const bool is_expired = IsExpired(it.second, now);
     if (is_expired) limiter_.RemoveLimit(it.first);
     return is_expired;
   });
@@ -108,4 +160,16 @@
       [](const auto& it) { return it.second.notice.rate_limit.has_value(); }));
 }
 
+size_t InstanceNotices::leaving() const {
+  return static_cast<size_t>(std::count_if(
+      states_.begin(), states_.end(),
+      [](const auto& it) { return it.second.notice.is_leaving; }));
+}
+
+size_t InstanceNotices::waiting(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      states_.begin(), states_.end(),
+      [&](const auto& it) { return now < it.second.wait_until; }));
+}
+
 }  // namespace rwf
--- a/src/traffic/instance_notices.h
+++ b/src/traffic/instance_notices.h
@@ -16,11 +16,24 @@
 struct InstanceNotice {
   // Requests per second that it takes from all VMs together; absent: no limit.
   std::optional<double> rate_limit;
+  // It is about to end and takes no new requests.
+  bool is_leaving = false;
+  // It turned the request away and wants no other from this VM for so long.
+  std::optional<Duration> wait;
   friend bool operator==(const InstanceNotice&,
                          const InstanceNotice&) = default;
 };
 
-// A notice as one VM passes it on to its peers.
+// Whether an instance may receive a request from this VM.
+enum class InstanceAvailability : uint8_t {
+  kOpen,
+  kLeaving,
+  kWaiting,  // until the end of the time that it asked for
+  kLimited,  // until the limit that it names allows another request
+};
+
+// A notice as one VM passes it on to its peers, without the wait, which
+// concerns one VM.
 struct SharedNotice {
   std::string instance;
   int64_t started_ms = 0;  // start of the process that it is about
@@ -49,6 +62,12 @@
   static constexpr double kMinRate = 0.1;
   // A limit is forgotten when the instance has not been heard of for this long.
   static constexpr Duration kRetention = std::chrono::seconds(60);
+  // The same for an instance that leaves. It is no longer asked, so only its
+  // entry tells that it lives on.
+  static constexpr Duration kLeavingRetention = std::chrono::minutes(15);
+  // After a wait, one request at a time tests whether the instance takes
+  // requests again. Without a response for this long, another one may.
+  static constexpr Duration kTestTimeout = std::chrono::seconds(2);
 
   InstanceNotices();
 
@@ -64,9 +83,12 @@
   // Returns the limit that the instance names, in requests per second of all
   // VMs together.
   std::optional<double> RateLimit(const InstanceInfo& instance) const;
-  // Returns whether the instance takes a request from this VM now.
-  bool IsOpen(const InstanceInfo& instance, TimePoint now);
-  // Returns the time until IsOpen() is expected to be true.
+  // Returns whether the instance takes a request from this VM now, or why not.
+  InstanceAvailability AvailabilityOf(const InstanceInfo& instance,
+                                      TimePoint now);
+  bool IsLeaving(const InstanceInfo& instance) const;
+  // Returns the time until the instance is expected to be open; the maximum if
+  // it is leaving.
   Duration TimeUntilOpen(const InstanceInfo& instance, TimePoint now);
   // Records a request that is sent to the instance.
   void OnSent(const InstanceInfo& instance, TimePoint now);
@@ -74,10 +96,16 @@
   // open.
   void OnDeclined(const InstanceInfo& instance, TimePoint now);
 
+  // Forgets what an instance said whose entry does not tell when it started, so
+  // that its next process cannot be told from this one.
+  void Forget(const std::string& instance);
   // Forgets notices that were not heard again. Must be called every second or
   // so.
   void RemoveExpired(TimePoint now);
+  // Returns the number of known instances in this state.
   size_t limited() const;
+  size_t leaving() const;
+  size_t waiting(TimePoint now) const;
   // The part of the limits that this VM exchanges with its peers.
   FleetLimiter* limiter() { return &limiter_; }
 
@@ -87,9 +115,14 @@
     InstanceNotice notice;
     TimePoint heard_at{};
     bool is_changed = false;  // since the last call of Share()
+    TimePoint wait_until{};
+    // The wait has not been followed by a response without one.
+    bool needs_test = false;
+    TimePoint tested_at{};
   };
   bool Update(const std::string& id, int64_t started_ms,
               const InstanceNotice& notice, TimePoint heard_at, TimePoint now);
+  static bool IsExpired(const State& state, TimePoint now);
   // Returns the state of the instance's present process, or null.
   const State* Find(const InstanceInfo& instance) const;
 
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -50,7 +50,8 @@
 const char* RejectionCauseName(RejectionCause cause) {
   static constexpr std::array<const char*,
                               static_cast<size_t>(RejectionCause::kCount)>
-      kNames = {"cold-rate", "deadline", "full", "cold-run", "late", "limited"};
+      kNames = {"cold-rate", "deadline", "full",    "cold-run",
+                "late",      "leaving",  "waiting", "limited"};
   return kNames[static_cast<size_t>(cause)];
 }
 
@@ -198,6 +199,22 @@
          kPanicFraction * static_cast<double>(ranked.size());
 }
 
+std::optional<RejectionCause> Placement::ClosedCause(const InstanceInfo& info,
+                                                     TimePoint now) const {
+  if (notices_ == nullptr) return std::nullopt;
+  switch (notices_->AvailabilityOf(info, now)) {
+    case InstanceAvailability::kOpen:
+      break;
+    case InstanceAvailability::kLeaving:
+      return RejectionCause::kLeaving;
+    case InstanceAvailability::kWaiting:
+      return RejectionCause::kWaiting;
+    case InstanceAvailability::kLimited:
+      return RejectionCause::kLimited;
+  }
+  return std::nullopt;
+}
+
 std::optional<PlacementChoice> Placement::FindBest(Search search) const {
   const PlacementRequest& request = *search.request;
   const TimePoint now = search.now;
@@ -226,8 +243,8 @@
       }
       // An instance that takes no request now has no rank, so that the object
       // gets a second instance where it stays warm.
-      if (notices_ != nullptr && !notices_->IsOpen(it->info(), now)) {
-        search.details->Count(RejectionCause::kLimited);
+      if (const auto cause = ClosedCause(it->info(), now)) {
+        search.details->Count(*cause);
         if (rank == 0) notices_->OnDeclined(it->info(), now);
         continue;
       }
@@ -321,22 +338,26 @@
                                const PlacementChoice& refusal,
                                Duration warm_run, TimePoint now) const {
   const auto& rejected = refusal.details.rejected;
-  const size_t limited =
-      rejected[static_cast<size_t>(RejectionCause::kLimited)];
+  const auto count = [&](RejectionCause cause) -> size_t {
+    return rejected[static_cast<size_t>(cause)];
+  };
+  const size_t closed =
+      count(RejectionCause::kWaiting) + count(RejectionCause::kLimited);
   const size_t all =
-      std::accumulate(rejected.begin(), rejected.end(), size_t{0});
+      std::accumulate(rejected.begin(), rejected.end(), size_t{0}) -
+      count(RejectionCause::kLeaving);
   // Capacity becomes free as runs end, so the delay grows with the load.
   const double fullness = std::clamp(refusal.local_load, 0.5, 3.0);
   Duration out = std::clamp(FromSeconds(ToSeconds(warm_run) * fullness),
                             kMinRetryAfter, kMaxRetryAfter);
-  if (limited == 0) return out;
+  if (closed == 0) return out;
   Duration opens_in = Duration::max();
   for (const InstanceState* it : registry_->OfService(request.service)) {
     if (IsUsable(*it, request, now))
       opens_in = std::min(opens_in, notices_->TimeUntilOpen(it->info(), now));
   }
   opens_in = std::max(opens_in, kMinRetryAfter);
-  return limited == all ? opens_in : std::min(out, opens_in);
+  return closed == all ? opens_in : std::min(out, opens_in);
 }
 
 void Placement::OnSent(const PlacementRequest& request,
@@ -378,6 +399,7 @@
   for (const InstanceState* it : registry_->OfService(service)) {
     if (it->info().is_draining || registry_->IsEvacuated(it->info().zone))
       continue;
+    if (notices_ != nullptr && notices_->IsLeaving(it->info())) continue;
     regions.insert(it->info().region);
     const bool in_local_region = it->info().region == settings_.region;
     // Without reports of other VMs, their requests are known only from the
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -45,6 +45,8 @@
   kFull,      // its queue is full or it has just shed a request
   kColdRun,   // a cold run there would displace several warm ones
   kLate,      // the response would be later than a full region accepts
+  kLeaving,   // it has said that it is about to end
+  kWaiting,   // it has asked for a pause
   kLimited,   // the limit that it has named is used up
   kCount,
 };
@@ -190,6 +192,9 @@
   // Returns the slots that the instance's rate limit can keep busy with runs of
   // this length, at most its slots.
   double UsableSlots(const InstanceInfo& info, Duration run) const;
+  // Returns why the instance takes no request from this VM now, if it does not.
+  std::optional<RejectionCause> ClosedCause(const InstanceInfo& info,
+                                            TimePoint now) const;
   // Whether so many instances are ejected for bad responses that these
   // ejections are ignored.
   static bool IsPanic(const std::vector<Candidate>& ranked, TimePoint now);
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -587,6 +587,69 @@
   CHECK(other.requests == 6);
 }
 
+// Guards against new work for an instance that leaves while the registry still
+// lists it, and against telling callers of it.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Instance, says that it leaves, gets no further request") {
+  ScriptedInstance leaving(&loop, [](const std::string& text) {
+    std::string response = FullResponse(text);
+    return response.insert(
+        response.find("\r\n") + 2,
+        "Server-Leaving: 1\r\nServer-Limit: 100\r\nX-Own: kept\r\n");
+  });
+  AddInstance("i1", leaving.port);
+  const ReceivedMessage last = SendRequest(RequestText("/safe/x", "id0"));
+  CHECK(last.status == 200);
+  CHECK(last.headers.Get("X-Own") == "kept");
+  CHECK_FALSE(last.headers.Has("Server-Leaving"));
+  CHECK_FALSE(last.headers.Has("Server-Limit"));
+  const ReceivedMessage refused = SendRequest(RequestText("/safe/x", "id1"));
+  CHECK(refused.status == 503);
+  CHECK(refused.headers.Has("Retry-After"));
+  CHECK(leaving.requests == 1);
+  CHECK(pool.connections() == 0);
+  ScriptedInstance other(
+      &loop, [](const std::string& text) { return FullResponse(text); });
+  AddInstance("i2", other.port);
+  CHECK(SendRequest(RequestText("/once/x", "id2")).status == 200);
+  CHECK(leaving.requests == 1);
+}
+
+// Guards against requests, retries and second attempts at an instance within
+// the time for which it wants none.
+TEST_CASE_FIXTURE(
+    DataPathFixture,
+    "Instance, turns away with a wait, gets nothing until its end") {
+  for (const bool says_not_run : {true, false}) {
+    ScriptedInstance waiting(&loop, [says_not_run](const std::string& text) {
+      std::string response =
+          says_not_run ? ShedResponse(text) : FullResponse(text, 503, "");
+      return response.insert(response.find("\r\n") + 2, "Retry-After: 1\r\n");
+    });
+    const std::string id = says_not_run ? "i1" : "i2";
+    AddInstance(id, waiting.port);
+    SendRequest(RequestText("/safe/x", "id0"));
+    CHECK(waiting.requests == 1);
+    const TimePoint from = EventLoop::Now();
+    for (int n = 1; n < 6; ++n) {
+      const ReceivedMessage refused =
+          SendRequest(RequestText("/safe/x", "id" + std::to_string(n)));
+      CHECK(refused.status == 503);
+      CHECK(std::stod(refused.headers.Get("Retry-After")) ==
+            doctest::Approx(1).epsilon(0.2));
+    }
+    CHECK(EventLoop::Now() - from < std::chrono::milliseconds(500));
+    CHECK(waiting.requests == 1);
+    CHECK_FALSE(registry.Find(id)->IsEjected(EventLoop::Now()));
+    const auto timer =
+        loop.After(std::chrono::milliseconds(1100), [this] { loop.Stop(); });
+    loop.Run();
+    SendRequest(RequestText("/safe/x", "id9"));
+    CHECK(waiting.requests == 2);
+    registry.Remove(id);
+  }
+}
+
 // Guards against taking an instance that turns away what is above its limit
 // for one that fails.
 TEST_CASE_FIXTURE(DataPathFixture,
--- a/tests/traffic/instance_notices_test.cc
+++ b/tests/traffic/instance_notices_test.cc
@@ -27,7 +27,16 @@
   return out;
 }
 
-InstanceNotice Limit(double rate) { return {rate}; }
+InstanceNotice Limit(double rate) {
+  InstanceNotice out;
+  out.rate_limit = rate;
+  return out;
+}
+
+bool IsOpen(InstanceNotices* notices, const InstanceInfo& instance,
+            TimePoint now) {
+  return notices->AvailabilityOf(instance, now) == InstanceAvailability::kOpen;
+}
 
 // Simulates the VMs of a fleet that send to one limited instance in virtual
 // time. Each VM reports at its own offset within the period.
@@ -92,7 +101,7 @@
  private:
   void Arrive(size_t n) {
     InstanceNotices& vm = *vms_[n];
-    if (!vm.IsOpen(instance_, now_)) {
+    if (!IsOpen(&vm, instance_, now_)) {
       vm.OnDeclined(instance_, now_);
       return;
     }
@@ -211,7 +220,7 @@
   int SendForASecond(const InstanceInfo& instance, TimePoint from) {
     int out = 0;
     for (TimePoint now = from; now < from + kSecond; now += kStep) {
-      if (!notices.IsOpen(instance, now)) continue;
+      if (!IsOpen(&notices, instance, now)) continue;
       notices.OnSent(instance, now);
       ++out;
     }
@@ -229,12 +238,12 @@
   CHECK_FALSE(notices.OnResponse(instance, Limit(2), kStart));
   for (const SharedNotice& it : notices.Share(false, kStart))
     CHECK(peer.OnShared(it, kStart));
-  CHECK_FALSE(peer.IsOpen(instance, kStart));
+  CHECK_FALSE(IsOpen(&peer, instance, kStart));
   CHECK(notices.OnResponse(instance, {}, kStart + kSecond));
-  CHECK(notices.IsOpen(instance, kStart + kSecond));
+  CHECK(IsOpen(&notices, instance, kStart + kSecond));
   for (const SharedNotice& it : notices.Share(false, kStart + kSecond))
     CHECK(peer.OnShared(it, kStart + kSecond));
-  CHECK(peer.IsOpen(instance, kStart + kSecond));
+  CHECK(IsOpen(&peer, instance, kStart + kSecond));
   CHECK(notices.Share(false, kStart + kSecond).empty());
 }
 
@@ -250,8 +259,8 @@
 TEST_CASE_FIXTURE(NoticesFixture,
                   "Limit, instance started anew, belongs to the old process") {
   notices.OnResponse(Instance("i", 1), Limit(0), kStart);
-  CHECK_FALSE(notices.IsOpen(Instance("i", 1), kStart + kSecond));
-  CHECK(notices.IsOpen(Instance("i", 2), kStart + kSecond));
+  CHECK_FALSE(IsOpen(&notices, Instance("i", 1), kStart + kSecond));
+  CHECK(IsOpen(&notices, Instance("i", 2), kStart + kSecond));
   // A report about the old process does not limit the new one.
   CHECK(notices.OnResponse(Instance("i", 2), Limit(5), kStart + kSecond));
   CHECK_FALSE(notices.OnShared({"i", 1, Limit(0), {}}, kStart + 2 * kSecond));
@@ -270,7 +279,99 @@
   CHECK(sent <= 3);
   notices.RemoveExpired(kStart + InstanceNotices::kRetention + kSecond);
   CHECK(notices.limited() == 0);
-  CHECK(notices.IsOpen(instance, kStart));
+  CHECK(IsOpen(&notices, instance, kStart));
+}
+
+InstanceNotice Leaving() {
+  InstanceNotice out;
+  out.is_leaving = true;
+  return out;
+}
+
+InstanceNotice Wait(Duration wait) {
+  InstanceNotice out;
+  out.wait = wait;
+  return out;
+}
+
+// Guards against new work for an instance that says it is leaving, whatever a
+// crossing response or a late report says.
+TEST_CASE_FIXTURE(
+    NoticesFixture,
+    "Leaving, said once, holds for the process and reaches the peers") {
+  const InstanceInfo instance = Instance("i", 5);
+  InstanceNotices peer;
+  // The peer has heard a later response that was sent before.
+  peer.OnResponse(instance, Limit(3), kStart + kSecond);
+  CHECK(notices.OnResponse(instance, Leaving(), kStart));
+  for (const SharedNotice& it : notices.Share(false, kStart))
+    CHECK(peer.OnShared(it, kStart + kSecond));
+  for (InstanceNotices* it : {&notices, &peer}) {
+    it->OnResponse(instance, {}, kStart + 2 * kSecond);
+    CHECK(it->AvailabilityOf(instance, kStart + 60 * kSecond) ==
+          InstanceAvailability::kLeaving);
+    CHECK(it->TimeUntilOpen(instance, kStart) == Duration::max());
+    it->RemoveExpired(kStart + 120 * kSecond);
+    CHECK(it->IsLeaving(instance));
+    CHECK(it->leaving() == 1);
+    // The next process under the same id takes requests.
+    CHECK(IsOpen(it, Instance("i", 6), kStart));
+  }
+}
+
+// Guards against more than two requests within the time for which an instance
+// wants none, and against all requests at its end.
+TEST_CASE_FIXTURE(NoticesFixture,
+                  "Wait, asked for by an instance, ends exactly with a test") {
+  const InstanceInfo instance = Instance("i");
+  CHECK(notices.OnResponse(instance, Wait(3 * kSecond), kStart));
+  CHECK(notices.waiting(kStart) == 1);
+  // Shorter waits and responses to earlier requests do not end it.
+  notices.OnResponse(instance, Wait(kSecond), kStart);
+  notices.OnResponse(instance, {}, kStart + kSecond);
+  const TimePoint end = kStart + 3 * kSecond;
+  CHECK(notices.AvailabilityOf(instance, end - kMillisecond) ==
+        InstanceAvailability::kWaiting);
+  CHECK(notices.TimeUntilOpen(instance, kStart + kSecond) == 2 * kSecond);
+  CHECK(IsOpen(&notices, instance, end));
+  notices.OnSent(instance, end);
+  CHECK(notices.AvailabilityOf(instance, end) ==
+        InstanceAvailability::kWaiting);
+  notices.OnResponse(instance, {}, end + 100 * kMillisecond);
+  CHECK(IsOpen(&notices, instance, end + 100 * kMillisecond));
+  CHECK(notices.waiting(end) == 0);
+}
+
+TEST_CASE_FIXTURE(NoticesFixture,
+                  "Wait, test without a response, allows the next one") {
+  const InstanceInfo instance = Instance("i");
+  notices.OnResponse(instance, Wait(kSecond), kStart);
+  notices.OnSent(instance, kStart + kSecond);
+  const TimePoint next = kStart + kSecond + InstanceNotices::kTestTimeout;
+  CHECK(notices.TimeUntilOpen(instance, kStart + kSecond) ==
+        InstanceNotices::kTestTimeout);
+  CHECK_FALSE(IsOpen(&notices, instance, next - kMillisecond));
+  CHECK(IsOpen(&notices, instance, next));
+}
+
+// Guards against a wait of one VM that stops the others.
+TEST_CASE_FIXTURE(NoticesFixture, "Wait, of one VM, does not reach its peers") {
+  const InstanceInfo instance = Instance("i");
+  InstanceNotices peer;
+  notices.OnResponse(instance, Wait(kSecond), kStart);
+  for (const SharedNotice& it : notices.Share(true, kStart))
+    peer.OnShared(it, kStart);
+  CHECK(IsOpen(&peer, instance, kStart));
+}
+
+TEST_CASE_FIXTURE(
+    NoticesFixture,
+    "Notices, instance without a start time, are forgotten with its entry") {
+  const InstanceInfo instance = Instance("i", 0);
+  notices.OnResponse(instance, Leaving(), kStart);
+  CHECK(notices.IsLeaving(instance));
+  notices.Forget("i");
+  CHECK(IsOpen(&notices, instance, kStart));
 }
 
 TEST_CASE_FIXTURE(NoticesFixture,
@@ -280,8 +381,8 @@
   notices.OnResponse(instance, Limit(2), kStart);
   const Duration wait = notices.TimeUntilOpen(instance, kStart);
   CHECK(wait == 500 * kMillisecond);
-  CHECK_FALSE(notices.IsOpen(instance, kStart + wait - kStep));
-  CHECK(notices.IsOpen(instance, kStart + wait + kStep));
+  CHECK_FALSE(IsOpen(&notices, instance, kStart + wait - kStep));
+  CHECK(IsOpen(&notices, instance, kStart + wait + kStep));
 }
 
 }  // namespace
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -35,6 +35,12 @@
   return out;
 }
 
+InstanceNotice Limit(double rate) {
+  InstanceNotice out;
+  out.rate_limit = rate;
+  return out;
+}
+
 PlacementRequest Request(uint64_t object) {
   PlacementRequest out;
   out.service = "s";
@@ -326,7 +332,7 @@
   PlacementRequest request = Request(7);
   InstanceState* first = limited.Choose(request, 2, 2, kStart).instance;
   REQUIRE(first != nullptr);
-  notices.OnResponse(first->info(), {2}, kStart);
+  notices.OnResponse(first->info(), Limit(2), kStart);
   const PlacementChoice choice = limited.Choose(request, 2, 2, kStart);
   REQUIRE(choice.instance != nullptr);
   CHECK(choice.instance != first);
@@ -341,7 +347,7 @@
   InstanceNotices notices;
   Placement limited(PlacementSettings{"home"}, &registry, &notices);
   for (const auto& [id, it] : registry.all())
-    notices.OnResponse(it->info(), {id == "i2" ? 4.0 : 2.0}, kStart);
+    notices.OnResponse(it->info(), Limit(id == "i2" ? 4 : 2), kStart);
   const PlacementRequest request = Request(7);
   const PlacementChoice choice = limited.Choose(request, 2, 2, kStart);
   REQUIRE(choice.instance == nullptr);
@@ -355,6 +361,45 @@
   CHECK(limited.Choose(request, 2, 2, later).instance == nullptr);
 }
 
+// Guards against parking requests, and against refusing them as if the
+// instances were busy.
+TEST_CASE_FIXTURE(
+    PlacementFixture,
+    "Notices, all instances leaving or waiting, refuse with the true time") {
+  InstanceNotices notices;
+  Placement told(PlacementSettings{"home"}, &registry, &notices);
+  InstanceNotice leaving;
+  leaving.is_leaving = true;
+  for (int n = 0; n < 6; ++n) {
+    notices.OnResponse(registry.Find("i" + std::to_string(n))->info(), leaving,
+                       kStart);
+  }
+  for (int n = 6; n < 8; ++n) {
+    InstanceNotice waiting;
+    waiting.wait = std::chrono::seconds(n);
+    notices.OnResponse(registry.Find("i" + std::to_string(n))->info(), waiting,
+                       kStart);
+  }
+  const PlacementChoice choice = told.Choose(Request(7), 2, 2, kStart);
+  REQUIRE(choice.instance == nullptr);
+  CHECK(choice.retry_after == std::chrono::seconds(6));
+  const TimePoint later = kStart + std::chrono::seconds(6);
+  const PlacementChoice next = told.Choose(Request(7), 2, 2, later);
+  REQUIRE(next.instance != nullptr);
+  CHECK(next.instance->info().id == "i6");
+  // All leaving: nothing is known of the time.
+  for (int n = 6; n < 8; ++n) {
+    notices.OnResponse(registry.Find("i" + std::to_string(n))->info(), leaving,
+                       later);
+  }
+  const PlacementChoice last =
+      told.Choose(Request(7), 2, 2, later + std::chrono::seconds(10));
+  CHECK(last.instance == nullptr);
+  CHECK(last.reason == PlacementRefusal::kNoInstance);
+  CHECK(last.retry_after > Duration::zero());
+  CHECK(last.retry_after <= std::chrono::seconds(2));
+}
+
 // Load pattern: some instances of a service take few requests. Guards against
 // keeping more objects warm there than their limit can serve, and against
 // moving objects of the others.
@@ -363,7 +408,7 @@
   InstanceNotices notices;
   Placement limited(PlacementSettings{"home"}, &registry, &notices);
   // 6 slots carry 20 runs per second of half the objective.
-  notices.OnResponse(registry.Find("i1")->info(), {4}, kStart);
+  notices.OnResponse(registry.Find("i1")->info(), Limit(4), kStart);
   const TimePoint now = kStart + std::chrono::seconds(1);
   int before = 0;
   int after = 0;
