--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -38,8 +38,8 @@
   HttpServer server(
       &loop, {}, [](const std::shared_ptr<HttpExchange>& exchange) {
         HttpResponse response = JsonResponse(200, exchange->request().path);
-        response.headers.Add(
-            "X-Request-Id", exchange->request().headers.Get("X-Request-Id"));
+        response.headers.Add("X-Request-Id",
+                             exchange->request().headers.Get("X-Request-Id"));
         exchange->Respond(response);
       });
   const uint16_t port = server.Listen("127.0.0.1", 0).value();
--- a/tools/soak/instance.py
+++ b/tools/soak/instance.py
@@ -83,9 +83,13 @@
         if request.headers.get("x-expect-instance", self.name) != self.name:
             writer.write(http11.response(421, b"", X_Instance_Id=self.name))
             return True
-        is_shed = self.queued >= QUEUE_LIMIT or (self.failure_mode == "shed" and random.random() < 0.6)
+        notices = self.world.notices
+        notices.on_arrival(self, request)
+        is_shed = (self.queued >= QUEUE_LIMIT or self.name in notices.waits
+                   or (self.failure_mode == "shed" and random.random() < 0.6))
         if is_shed:
-            writer.write(http11.response(503, b"", X_Not_Executed=1, X_Request_Id=request_id))
+            writer.write(http11.response(503, b"", X_Not_Executed=1, X_Request_Id=request_id,
+                                         **notices.headers(self, request, is_refusal=True)))
             return True
         self.queued += 1
         async with self.slots:
@@ -96,14 +100,16 @@
             await asyncio.sleep(random.uniform(0.02, 0.08) * (8 if self.failure_mode == "slow" else 1))
         fails = random.random() < 0.4
         if self.failure_mode == "errors" and fails:
-            writer.write(http11.response(500, b"", X_Request_Id=request_id, X_Server_Stamp=self.name))
+            writer.write(http11.response(500, b"", X_Request_Id=request_id, X_Server_Stamp=self.name,
+                                         **notices.headers(self, request, is_refusal=False)))
             return True
         if self.failure_mode == "reset" and fails:
             writer.transport.abort()
             return False
         data = http11.response(200, body_for(request_id, random.randint(1, 60)), X_Request_Id=request_id,
                                  X_Server_Stamp=self.name,
-                                 X_Server_Load=f"{self.slot_count - self.slots._value},{self.queued},{self.slot_count}")
+                                 X_Server_Load=f"{self.slot_count - self.slots._value},{self.queued},{self.slot_count}",
+                                 **notices.headers(self, request, is_refusal=False))
         if self.failure_mode == "truncate" and fails:
             writer.write(data[: len(data) // 2])
             await writer.drain()
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,6 +13,7 @@
 from checks import Checks, Sent
 from faults import FAULTS
 from instance import Instance
+from notices import Notices
 from proxy import Proxy
 from store import Store
 from vm import Vm
@@ -36,6 +37,7 @@
         self.base = f"127.{20 + slot}"
         self.started_at = asyncio.get_running_loop().time()
         self.checks = Checks(self.clock)
+        self.notices = Notices(self, seed)
         self.counts = collections.Counter()
         self.final_counts = collections.Counter()
         self.is_final_phase = False
@@ -197,7 +199,8 @@
         jobs += [Caller(world, n).run() for n in range(world.caller_count)]
         tasks = [asyncio.create_task(it) for it in jobs]
         await asyncio.sleep(2)
-        await world.inject(args.seconds, faults.append)
+        await asyncio.gather(world.inject(args.seconds, faults.append),
+                             world.notices.run(args.seconds, faults.append))
         await asyncio.sleep(RECOVERY_S - 3)
         world.is_final_phase = True
         await asyncio.sleep(3)
