--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -9,6 +9,7 @@
 #include <ctime>
 
 #include "base/hash.h"
+#include "gateway/decision_log.h"
 #include "gateway/result_classifier.h"
 
 namespace rwf {
@@ -51,18 +52,6 @@
                    std::chrono::nanoseconds(ts.tv_nsec));
 }
 
-void LogNotice(EventLog* log, const std::string& instance,
-               const InstanceNotice& notice, const std::string& peer,
-               Duration age) {
-  log->State("instance_notice")
-      .Text("instance", instance)
-      .Text("heard_by", peer.empty() ? "self" : peer)
-      .Millis("age_ms", age)
-      .Real("rate_limit", notice.rate_limit.value_or(-1))
-      .Flag("leaving", notice.is_leaving)
-      .Millis("wait_ms", notice.wait.value_or(Duration::zero()));
-}
-
 Forwarder::Forwarder(ForwarderDependencies deps) : deps_(std::move(deps)) {}
 
 Forwarder::~Forwarder() = default;
@@ -203,7 +192,9 @@
       deps_.placement->Choose(it->placement_request, cold_rate, vm_count, now);
   if (choice.instance == nullptr) {
     *retry_after = choice.retry_after;
-    LogRefusedPlacement(*it, choice);
+    deps_.metrics->CountRefusedPlacement(RefusalCauseName(choice));
+    LogRefusedPlacement(deps_.log, it->request_id, it->placement_request,
+                        choice);
     *reason = choice.reason == PlacementRefusal::kNoCapacity ? "overloaded"
                                                              : "no-upstream";
     return false;
@@ -244,32 +235,6 @@
   return true;
 }
 
-void Forwarder::LogRefusedPlacement(const Exchange& it,
-                                    const PlacementChoice& choice) {
-  const RefusalDetails& details = choice.details;
-  deps_.metrics->CountRefusedPlacement(
-      choice.reason == PlacementRefusal::kNoInstance
-          ? "no-instance"
-          : RejectionCauseName(details.MainCause()));
-  EventLog::Line line = deps_.log->Request("no_place", it.request_id);
-  line.Text("service", it.placement_request.service)
-      .Text("route", it.placement_request.route)
-      .Real("home_load", choice.local_load)
-      .Real("away_load", choice.remote_load)
-      .Millis("left_ms", it.placement_request.time_left)
-      .Number("priority", it.placement_request.priority)
-      .Flag("has_object", it.placement_request.object != 0)
-      .Flag("is_retry", it.placement_request.is_retry)
-      .Millis("expected_ms", details.expected)
-      .Millis("allowed_ms", details.allowed)
-      .Flag("measured", details.is_time_measured);
-  for (size_t n = 0; n < details.rejected.size(); ++n) {
-    if (details.rejected[n] == 0) continue;
-    line.Number(RejectionCauseName(static_cast<RejectionCause>(n)),
-                details.rejected[n]);
-  }
-}
-
 std::string Forwarder::RequestBytes(const Exchange& it,
                                     const std::string& instance,
                                     Duration left) const {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -30,12 +30,6 @@
 // (CLOCK_BOOTTIME).
 TimePoint BootTimeNow();
 
-// Logs a change of what an instance says of itself. `peer` is the VM that
-// passed it on; empty: this VM heard it.
-void LogNotice(EventLog* log, const std::string& instance,
-               const InstanceNotice& notice, const std::string& peer,
-               Duration age);
-
 // Components that the forwarder works with. They are owned by the gateway and
 // outlive the forwarder.
 struct ForwarderDependencies {
@@ -172,7 +166,6 @@
   // Chooses an instance and sends an attempt to it. Returns false if no
   // instance can take the request.
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
-  void LogRefusedPlacement(const Exchange& it, const PlacementChoice& choice);
   std::string RequestBytes(const Exchange& it, const std::string& instance,
                            Duration left) const;
   static ServiceTimeModel::Warmth WarmthOf(const Exchange& it,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/digest.h"
+#include "gateway/decision_log.h"
 
 namespace rwf {
 namespace {
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -7,18 +7,14 @@
 #include <string>
 #include <vector>
 
+#include "traffic/notices.h"
+
 namespace rwf {
 namespace {
 
 constexpr uint16_t kFirstPeerPort = 18530;
 constexpr const char* kSecret = "secret";
 
-InstanceNotice Limit(double rate) {
-  InstanceNotice out;
-  out.rate_limit = rate;
-  return out;
-}
-
 // Two VMs on loopback that exchange reports.
 class FleetFixture {
  protected:
@@ -79,7 +75,7 @@
                   "Notice, heard by one VM, reaches its peers and ends there") {
   for (Vm& it : vms) Start(&it);
   REQUIRE(RunUntil([&] { return vms[0].fleet->HasLinks(1); }));
-  vms[0].notices.OnResponse(instance, Limit(2), EventLoop::Now());
+  vms[0].notices.OnResponse(instance, RateLimit(2), EventLoop::Now());
   REQUIRE(RunUntil([&] { return vms[1].notices.RateLimit(instance) == 2; }));
   vms[0].notices.OnResponse(instance, {}, EventLoop::Now());
   CHECK(RunUntil([&] { return !vms[1].notices.RateLimit(instance); }));
@@ -88,7 +84,7 @@
 TEST_CASE_FIXTURE(FleetFixture,
                   "Notice, heard before a VM starts, reaches it on its link") {
   Start(&vms[0]);
-  vms[0].notices.OnResponse(instance, Limit(2), EventLoop::Now());
+  vms[0].notices.OnResponse(instance, RateLimit(2), EventLoop::Now());
   vms[0].fleet->SendReports();
   Start(&vms[1]);
   CHECK(RunUntil([&] { return vms[1].notices.RateLimit(instance) == 2; }));
@@ -100,7 +96,7 @@
   for (Vm& it : vms) Start(&it);
   REQUIRE(RunUntil([&] { return vms[0].fleet->HasLinks(1); }));
   const TimePoint from = EventLoop::Now();
-  for (Vm& it : vms) it.notices.OnResponse(instance, Limit(4), from);
+  for (Vm& it : vms) it.notices.OnResponse(instance, RateLimit(4), from);
   int sent = 0;
   RunUntil([&] {
     const TimePoint now = EventLoop::Now();
--- a/tests/traffic/instance_notices_test.cc
+++ b/tests/traffic/instance_notices_test.cc
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "traffic/notices.h"
+
 namespace rwf {
 namespace {
 
@@ -27,12 +29,6 @@
   return out;
 }
 
-InstanceNotice Limit(double rate) {
-  InstanceNotice out;
-  out.rate_limit = rate;
-  return out;
-}
-
 bool IsOpen(InstanceNotices* notices, const InstanceInfo& instance,
             TimePoint now) {
   return notices->AvailabilityOf(instance, now) == InstanceAvailability::kOpen;
@@ -107,7 +103,7 @@
     }
     vm.OnSent(instance_, now_);
     // The response names the limit.
-    vm.OnResponse(instance_, Limit(limit_), now_);
+    vm.OnResponse(instance_, RateLimit(limit_), now_);
     ++sent;
     times_.push_back(now_);
   }
@@ -234,8 +230,8 @@
                   "Limit, no longer named, ends at this VM and its peers") {
   const InstanceInfo instance = Instance("i");
   InstanceNotices peer;
-  CHECK(notices.OnResponse(instance, Limit(2), kStart));
-  CHECK_FALSE(notices.OnResponse(instance, Limit(2), kStart));
+  CHECK(notices.OnResponse(instance, RateLimit(2), kStart));
+  CHECK_FALSE(notices.OnResponse(instance, RateLimit(2), kStart));
   for (const SharedNotice& it : notices.Share(false, kStart))
     CHECK(peer.OnShared(it, kStart));
   CHECK_FALSE(IsOpen(&peer, instance, kStart));
@@ -250,7 +246,7 @@
 // Guards against a late report that overrides what the instance said since.
 TEST_CASE_FIXTURE(NoticesFixture, "Limit, older report of a peer, is ignored") {
   const InstanceInfo instance = Instance("i");
-  notices.OnResponse(instance, Limit(2), kStart + kSecond);
+  notices.OnResponse(instance, RateLimit(2), kStart + kSecond);
   const SharedNotice late = {"i", 1, {}, 2 * kSecond};
   CHECK_FALSE(notices.OnShared(late, kStart + kSecond));
   CHECK(notices.RateLimit(instance) == 2);
@@ -258,12 +254,13 @@
 
 TEST_CASE_FIXTURE(NoticesFixture,
                   "Limit, instance started anew, belongs to the old process") {
-  notices.OnResponse(Instance("i", 1), Limit(0), kStart);
+  notices.OnResponse(Instance("i", 1), RateLimit(0), kStart);
   CHECK_FALSE(IsOpen(&notices, Instance("i", 1), kStart + kSecond));
   CHECK(IsOpen(&notices, Instance("i", 2), kStart + kSecond));
   // A report about the old process does not limit the new one.
-  CHECK(notices.OnResponse(Instance("i", 2), Limit(5), kStart + kSecond));
-  CHECK_FALSE(notices.OnShared({"i", 1, Limit(0), {}}, kStart + 2 * kSecond));
+  CHECK(notices.OnResponse(Instance("i", 2), RateLimit(5), kStart + kSecond));
+  CHECK_FALSE(
+      notices.OnShared({"i", 1, RateLimit(0), {}}, kStart + 2 * kSecond));
   CHECK(notices.RateLimit(Instance("i", 2)) == 5);
 }
 
@@ -271,7 +268,7 @@
 TEST_CASE_FIXTURE(NoticesFixture,
                   "Limit of zero, instance not heard of, is tested and ends") {
   const InstanceInfo instance = Instance("i");
-  notices.OnResponse(instance, Limit(0), kStart);
+  notices.OnResponse(instance, RateLimit(0), kStart);
   int sent = 0;
   for (int n = 0; n < 20; ++n)
     sent += SendForASecond(instance, kStart + n * kSecond);
@@ -302,7 +299,7 @@
   const InstanceInfo instance = Instance("i", 5);
   InstanceNotices peer;
   // The peer has heard a later response that was sent before.
-  peer.OnResponse(instance, Limit(3), kStart + kSecond);
+  peer.OnResponse(instance, RateLimit(3), kStart + kSecond);
   CHECK(notices.OnResponse(instance, Leaving(), kStart));
   for (const SharedNotice& it : notices.Share(false, kStart))
     CHECK(peer.OnShared(it, kStart + kSecond));
@@ -378,7 +375,7 @@
                   "Time until open, limit used up, is when a token is due") {
   const InstanceInfo instance = Instance("i");
   CHECK(notices.TimeUntilOpen(instance, kStart) == Duration::zero());
-  notices.OnResponse(instance, Limit(2), kStart);
+  notices.OnResponse(instance, RateLimit(2), kStart);
   const Duration wait = notices.TimeUntilOpen(instance, kStart);
   CHECK(wait == 500 * kMillisecond);
   CHECK_FALSE(IsOpen(&notices, instance, kStart + wait - kStep));
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/hash.h"
+#include "traffic/notices.h"
 
 namespace rwf {
 namespace {
@@ -35,12 +36,6 @@
   return out;
 }
 
-InstanceNotice Limit(double rate) {
-  InstanceNotice out;
-  out.rate_limit = rate;
-  return out;
-}
-
 PlacementRequest Request(uint64_t object) {
   PlacementRequest out;
   out.service = "s";
@@ -332,7 +327,7 @@
   PlacementRequest request = Request(7);
   InstanceState* first = limited.Choose(request, 2, 2, kStart).instance;
   REQUIRE(first != nullptr);
-  notices.OnResponse(first->info(), Limit(2), kStart);
+  notices.OnResponse(first->info(), RateLimit(2), kStart);
   const PlacementChoice choice = limited.Choose(request, 2, 2, kStart);
   REQUIRE(choice.instance != nullptr);
   CHECK(choice.instance != first);
@@ -347,7 +342,7 @@
   InstanceNotices notices;
   Placement limited(PlacementSettings{"home"}, &registry, &notices);
   for (const auto& [id, it] : registry.all())
-    notices.OnResponse(it->info(), Limit(id == "i2" ? 4 : 2), kStart);
+    notices.OnResponse(it->info(), RateLimit(id == "i2" ? 4 : 2), kStart);
   const PlacementRequest request = Request(7);
   const PlacementChoice choice = limited.Choose(request, 2, 2, kStart);
   REQUIRE(choice.instance == nullptr);
@@ -408,7 +403,7 @@
   InstanceNotices notices;
   Placement limited(PlacementSettings{"home"}, &registry, &notices);
   // 6 slots carry 20 runs per second of half the objective.
-  notices.OnResponse(registry.Find("i1")->info(), Limit(4), kStart);
+  notices.OnResponse(registry.Find("i1")->info(), RateLimit(4), kStart);
   const TimePoint now = kStart + std::chrono::seconds(1);
   int before = 0;
   int after = 0;
