--- a/bench/traffic_bench.cc
+++ b/bench/traffic_bench.cc
@@ -11,9 +11,13 @@
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
-// One placement decision among instances in three regions.
+// One placement decision among instances in three regions, of which a part of
+// 0 to 100 percent names a rate limit.
 void BmChoose(benchmark::State& state) {
   InstanceRegistry registry;
+  InstanceNotices notices;
+  InstanceNotice limit;
+  limit.rate_limit = 3;
   const auto instances = static_cast<int>(state.range(0));
   for (int n = 0; n < instances; ++n) {
     InstanceInfo info;
@@ -25,8 +29,9 @@
     info.zone = info.region + "-a";
     info.slots = 6;
     registry.Put(info, kStart);
+    if (n % 100 < state.range(1)) notices.OnResponse(info, limit, kStart);
   }
-  Placement placement({"region-0"}, &registry);
+  Placement placement({"region-0"}, &registry, &notices);
   PlacementRequest request;
   request.service = "s";
   request.route = "r";
@@ -38,7 +43,10 @@
     request.object = Hash64(std::to_string(n % 300)) | 1;
     now += std::chrono::milliseconds(3);
     const PlacementChoice choice = placement.Choose(request, 5, 8, now);
-    choice.instance->OnSent(n, request.object, choice.healthy_latency, now);
+    if (choice.instance != nullptr) {
+      placement.OnSent(request, choice, 5, 8, now);
+      choice.instance->OnSent(n, request.object, choice.healthy_latency, now);
+    }
     if (n >= 50) {
       for (const auto& [id, it] : registry.all())
         it->OnEnded(n - 50, AttemptOutcome::kCancelled, now);
@@ -47,7 +55,8 @@
     benchmark::DoNotOptimize(choice);
   }
 }
-BENCHMARK(BmChoose)->Arg(16)->Arg(152)->Arg(324);
+BENCHMARK(BmChoose)->Args({16, 0})->Args({152, 0})->Args({324, 0})->Args({324,
+                                                                          70});
 
 // One admission while 24 peers report.
 void BmAdmit(benchmark::State& state) {
