Pace requests to cold instances over the whole fleet

Cause: each VM divided the rate of a cold instance by the VMs of its own region, so three regions together sent three times the rate, and every VM sent its first request at once.

Change: VMs of other regions divide their part by twice the fleet, and a VM begins at a random point of its first interval in each cold period.

The test of several VMs together is on the new interface with its check as it was.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,8 +28,10 @@
       log_(log),
       freshness_(FromSeconds(ToSeconds(settings_.max_key_withdrawal_delay) *
                              kKeyFreshnessFraction)),
-      placement_({settings_.self.region, settings_.max_shift}, &registry_,
-                 &notices_),
+      placement_({.region = settings_.self.region,
+                  .max_shift = settings_.max_shift,
+                  .pacing_seed = settings_.self.incarnation},
+                 &registry_, &notices_),
       pool_(loop),
       fleet_(loop, settings_.self, &limiter_, &notices_, log),
       store_(loop, store, RelayCallbacks()),
@@ -409,6 +411,7 @@
 void Gateway::Tick() {
   const TimePoint now = EventLoop::Now();
   placement_.SetPeerLoads(fleet_.PeerLoads(), now);
+  placement_.SetVmCount(1 + fleet_.size());
   fleet_.SetOwnLoads(placement_.OwnLoads());
   placement_.UpdateRegionSplit(services_, fleet_.SharesInRegion(), now);
   std::map<std::string, double> shares;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -65,6 +65,7 @@
     : settings_(std::move(settings)),
       registry_(registry),
       notices_(notices),
+      pacer_(settings_.pacing_seed),
       split_(settings_.max_shift) {}
 
 bool Placement::IsUsable(const InstanceState& it,
@@ -215,7 +216,17 @@
   return std::nullopt;
 }
 
-std::optional<PlacementChoice> Placement::FindBest(Search search) const {
+ColdPacer::Pace Placement::PaceOf(const InstanceState& it, double cold_rate,
+                                  size_t local_vms) const {
+  // Any VM of the fleet may send to an instance outside its region, in addition
+  // to the VMs of its own region.
+  const bool is_local = it.info().region == settings_.region;
+  return {it.cold_until(), cold_rate,
+          is_local ? local_vms
+                   : std::max(local_vms, total_vms_) * kRemoteColdFactor};
+}
+
+std::optional<PlacementChoice> Placement::FindBest(Search search) {
   const PlacementRequest& request = *search.request;
   const TimePoint now = search.now;
   const std::vector<Candidate> ranked =
@@ -236,8 +247,10 @@
       const bool is_excluded =
           is_panic ? it->IsUnreachable(now) : it->IsEjected(now);
       if (is_excluded != allow_ejected) continue;
-      if (it->IsCold(now) && !pacer_.CanAcquire(it->info().id, search.cold_rate,
-                                                search.local_vms, now)) {
+      if (it->IsCold(now) &&
+          !pacer_.CanAcquire(it->info().id,
+                             PaceOf(*it, search.cold_rate, search.local_vms),
+                             now)) {
         search.details->Count(RejectionCause::kColdRate);
         continue;
       }
@@ -364,7 +377,8 @@
                        const PlacementChoice& choice, double cold_rate,
                        size_t local_vms, TimePoint now) {
   if (choice.instance->IsCold(now)) {
-    pacer_.TryAcquire(choice.instance->info().id, cold_rate, local_vms, now);
+    pacer_.TryAcquire(choice.instance->info().id,
+                      PaceOf(*choice.instance, cold_rate, local_vms), now);
   }
   if (now - window_start_ >= kSpillWindow) {
     const bool is_recent = now - window_start_ < 2 * kSpillWindow;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -100,6 +100,7 @@
   std::string region;  // of this VM
   double max_shift = 0.15;
   Duration cross_region_rtt = std::chrono::milliseconds(42);
+  uint64_t pacing_seed = 0;  // of the VM, for cold instances
 };
 
 // Chooses the instance that a request is sent to. Every VM ranks the instances
@@ -138,6 +139,9 @@
   // Cost of a cold run beyond its own time, as a ratio of the additional slot
   // time that it takes from other requests.
   static constexpr double kColdCostRatio = 0.5;
+  // Number by which VMs of other regions divide their part of the rate that a
+  // cold instance sustains.
+  static constexpr size_t kRemoteColdFactor = 2;
   // Requests of this VM that may spill to another region individually, as a
   // fraction of the permitted shift over two seconds.
   static constexpr double kSpillFraction = 0.35;
@@ -155,6 +159,8 @@
   // Counts a request that is sent to the chosen instance.
   void OnSent(const PlacementRequest& request, const PlacementChoice& choice,
               double cold_rate, size_t local_vms, TimePoint now);
+  // Sets the number of VMs of the fleet, including this one.
+  void SetVmCount(size_t n) { total_vms_ = n; }
   ServiceTimeModel* service_times() { return &service_times_; }
   // Adjusts the region split to the load of the regions. Must be called a few
   // times per second. `peer_shares` holds the remote shares of the region's
@@ -212,7 +218,9 @@
     size_t warm_ranks = 0;
     RefusalDetails* details = nullptr;
   };
-  std::optional<PlacementChoice> FindBest(Search search) const;
+  std::optional<PlacementChoice> FindBest(Search search);
+  ColdPacer::Pace PaceOf(const InstanceState& it, double cold_rate,
+                         size_t local_vms) const;
   // Returns why refusing this run is better for the region than admitting it,
   // if it is. Records the times of a late run in the details.
   std::optional<RejectionCause> RejectionOf(
@@ -238,6 +246,7 @@
   InstanceNotices* notices_;
   ServiceTimeModel service_times_;
   ColdPacer pacer_;
+  size_t total_vms_ = 1;
   // Loads by service, recomputed at most every kLoadCacheInterval.
   struct CachedLoads {
     TimePoint at{};
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -544,12 +544,13 @@
 TEST_CASE("Cold pacer, several VMs, stay within the rate together") {
   for (const size_t vms : {1, 3, 7}) {
     CAPTURE(vms);
-    std::vector<ColdPacer> pacers(vms);
+    std::vector<ColdPacer> pacers;
+    for (size_t n = 0; n < vms; ++n) pacers.emplace_back(n);
+    const ColdPacer::Pace pace = {kStart + std::chrono::seconds(4), 5.3, vms};
     int sent = 0;
     for (int ms = 0; ms < 4000; ++ms) {
       for (ColdPacer& it : pacers) {
-        if (it.TryAcquire("i", 5.3, vms,
-                          kStart + std::chrono::milliseconds(ms)))
+        if (it.TryAcquire("i", pace, kStart + std::chrono::milliseconds(ms)))
           ++sent;
       }
     }
