--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -38,7 +38,7 @@
   kNoCapacity,  // all are full, or the response would be too late
 };
 
-// Why an instance was not chosen for a request.
+// Why an instance was passed over for a request.
 enum class RejectionCause : uint8_t {
   kColdRate,  // the rate that it sustains while cold is used up
   kDeadline,  // the response would miss the deadline
--- a/tests/traffic/cold_pacer_test.cc
+++ b/tests/traffic/cold_pacer_test.cc
@@ -83,7 +83,7 @@
 
 // Load pattern: a cold instance is the only one that takes requests, so that
 // the VMs of all regions send to it. Guards against a rate that only counts the
-// VMs of one region, and against all VMs sending at the begin of a cold period.
+// VMs of one region, and against all VMs sending as a cold period begins.
 TEST_CASE("Cold instance, wanted by VMs of all regions, stays near its rate") {
   struct Row {
     size_t vms;
