--- a/tests/traffic/instance_notices_test.cc
+++ b/tests/traffic/instance_notices_test.cc
@@ -210,6 +210,90 @@
   CHECK(fleet.worst_window <= MaxSent(limit));
 }
 
+// Load pattern: every VM wants to send to one instance at any time, and its
+// responses take 50 ms. Guards against requests to an instance that leaves or
+// wants a pause, from any VM of the fleet.
+class ToldFleet {
+ public:
+  explicit ToldFleet(size_t vms) : vms_(vms), sent_(vms) {}
+
+  // The instance answers with the notice that `answer` returns for a request at
+  // that time. Every VM passes its news on to the others after 200 ms.
+  template <typename Answer>
+  void Run(Duration time, Answer answer) {
+    std::deque<std::pair<TimePoint, size_t>> running;
+    std::deque<std::pair<TimePoint, SharedNotice>> reports;
+    for (TimePoint now = kStart; now < kStart + time; now += kStep) {
+      for (; !running.empty() && running.front().first <= now;
+           running.pop_front()) {
+        InstanceNotices& vm = vms_[running.front().second];
+        vm.OnResponse(instance_, answer(now - kResponseTime), now);
+        for (const SharedNotice& it : vm.Share(false, now))
+          reports.emplace_back(now + 200 * kMillisecond, it);
+      }
+      for (; !reports.empty() && reports.front().first <= now;
+           reports.pop_front()) {
+        for (InstanceNotices& it : vms_)
+          it.OnShared(reports.front().second, now);
+      }
+      for (size_t n = 0; n < vms_.size(); ++n) {
+        if (!IsOpen(&vms_[n], instance_, now)) continue;
+        vms_[n].OnSent(instance_, now);
+        sent_[n].push_back(now);
+        running.emplace_back(now + kResponseTime, n);
+      }
+    }
+  }
+  // Returns the requests of one VM in a span of time.
+  size_t Sent(size_t vm, Duration from, Duration to) const {
+    return static_cast<size_t>(std::count_if(
+        sent_[vm].begin(), sent_[vm].end(),
+        [&](TimePoint t) { return t >= kStart + from && t < kStart + to; }));
+  }
+  size_t size() const { return vms_.size(); }
+
+ private:
+  static constexpr Duration kResponseTime = 50 * kMillisecond;
+  const InstanceInfo instance_ = Instance("i");
+  std::vector<InstanceNotices> vms_;
+  std::vector<std::vector<TimePoint>> sent_;
+};
+
+TEST_CASE("Leaving, fleets of any size, ends all requests for good") {
+  for (const size_t vms : {1, 7, 25}) {
+    CAPTURE(vms);
+    ToldFleet fleet(vms);
+    fleet.Run(30 * kSecond, [](TimePoint now) {
+      InstanceNotice out;
+      out.is_leaving = now >= kStart + kSecond;
+      return out;
+    });
+    for (size_t n = 0; n < fleet.size(); ++n) {
+      CHECK(fleet.Sent(n, Duration::zero(), kSecond) > 50);
+      CHECK(fleet.Sent(n, 1100 * kMillisecond, 30 * kSecond) == 0);
+    }
+  }
+}
+
+TEST_CASE("Wait, fleets of any size, is kept and ends without a crowd") {
+  for (const size_t vms : {1, 7, 25}) {
+    CAPTURE(vms);
+    ToldFleet fleet(vms);
+    // Every request within the first two seconds is turned away for 3 s.
+    fleet.Run(8 * kSecond, [](TimePoint now) {
+      InstanceNotice out;
+      if (now < kStart + 2 * kSecond) out.wait = 3 * kSecond;
+      return out;
+    });
+    for (size_t n = 0; n < fleet.size(); ++n) {
+      // The last refusal comes after 90 ms at most.
+      CHECK(fleet.Sent(n, 550 * kMillisecond, 3050 * kMillisecond) <= 2);
+      CHECK(fleet.Sent(n, 3 * kSecond, 3140 * kMillisecond) <= 1);
+      CHECK(fleet.Sent(n, 4 * kSecond, 8 * kSecond) > 300);
+    }
+  }
+}
+
 class NoticesFixture {
  protected:
   // Returns the requests that are sent within a second.
