Let one VM keep the limit of each workspace

Change: one VM keeps each limit, chosen by rendezvous hashing. Requests are admitted freely and claimed every 50 ms; when the bucket runs low its keeper tells all VMs, and each request then waits for a grant. A lost keeper is passed over after 0.3 s, a leaving one hands its level over, both sides of a partition use their part. The usage of workspaces is no longer in the reports.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -106,7 +106,7 @@
   return out;
 }
 
-Fleet::Fleet(EventLoop* loop, FleetVm self, FleetLimiter* limiter,
+Fleet::Fleet(EventLoop* loop, FleetVm self, WorkspaceLimiter* limiter,
              InstanceNotices* notices, EventLog* log)
     : loop_(loop),
       self_(std::move(self)),
@@ -127,8 +127,8 @@
     it->second.has_link = true;
     it->second.last_report_at = EventLoop::Now();
     it->second.is_connection_refused = false;
-    // A VM that has just started may use only a small share of the limits until
-    // it has received reports of its peers.
+    // A VM that has just started keeps no limits and may use only a small share
+    // of those of instances until it has received reports of its peers.
     wire::BodyUnion body;
     body.Set(MakeReport(ReportKind::kFirstOnLink));
     links_->Send(vm, std::move(body));
@@ -160,7 +160,14 @@
 void Fleet::OnListed(const FleetVm& vm) {
   if (vm.vm == self_.vm) return;
   Peer& peer = peers_[vm.vm];
-  if (peer.info.incarnation != vm.incarnation) peer = Peer{};
+  if (peer.info.incarnation != vm.incarnation) {
+    peer = Peer{};
+    peer.heard_at = EventLoop::Now();
+    // The link to a new process may be up before its entry is known.
+    peer.has_link =
+        links_ != nullptr && links_->IncarnationOf(vm.vm) == vm.incarnation;
+    if (peer.has_link) peer.last_report_at = peer.heard_at;
+  }
   peer.info = vm;
   peer.is_listed = true;
   UpdateLinks();
@@ -184,10 +191,8 @@
     names.push_back(vm);
     addresses.push_back({vm, it.info.address, it.info.peer_port});
   }
-  for (FleetLimiter* it : {limiter_, notices_->limiter()}) {
-    it->SetReportPeriod(ReportPeriod());
-    it->SetPeers(names, EventLoop::Now());
-  }
+  notices_->limiter()->SetReportPeriod(ReportPeriod());
+  notices_->limiter()->SetPeers(names, EventLoop::Now());
   if (links_ == nullptr) return;
   links_->SetAddresses(addresses);
   links_->SetWanted(names);
@@ -280,7 +285,10 @@
   report.requests_per_s = static_cast<float>(requests_per_s_);
   const TimePoint now = EventLoop::Now();
   const bool is_full = kind != ReportKind::kChanges;
-  report.uses = ToWire(limiter_->Report(is_full, now));
+  report.limits_kept_ms = static_cast<uint32_t>(
+      std::clamp<int64_t>(ToMillis(limiter_->KeptFor(now)),
+                          limiter_->is_settled() ? 1 : 0, UINT32_MAX));
+  report.scarce_limits = limiter_->ScarceLimits(now);
   report.instance_uses = ToWire(notices_->limiter()->Report(is_full, now));
   for (const SharedNotice& it :
        notices_->Share(kind == ReportKind::kFirstOnLink, now))
@@ -310,7 +318,33 @@
     signal_changes_reply.emit(vm, *reply);
   } else if (const auto* suspicion = message.body.AsCrashSuspicion()) {
     signal_crash_suspicion.emit(*suspicion);
+  } else if (const auto* claims = message.body.AsLimitClaims()) {
+    signal_limit_claims.emit(vm, *claims);
+  } else if (const auto* limit_reply = message.body.AsLimitReply()) {
+    signal_limit_reply.emit(vm, *limit_reply);
+  }
+}
+
+Duration Fleet::OverdueTime() const {
+  return FromSeconds(ToSeconds(ReportPeriod()) * kOverduePeriods) +
+         kOverdueMargin;
+}
+
+std::vector<LimitPeer> Fleet::LimitPeers() const {
+  const TimePoint now = EventLoop::Now();
+  std::vector<LimitPeer> out;
+  for (const auto& [vm, it] : peers_) {
+    LimitPeer peer{vm};
+    peer.can_keep = it.has_link && HasRecentReport(it, now) && it.ready &&
+                    it.limits_kept > Duration::zero() && !it.leaving;
+    peer.kept_for = it.limits_kept;
+    peer.is_heard =
+        it.has_link && it.has_report && now - it.last_report_at < OverdueTime();
+    peer.may_admit =
+        !it.is_connection_refused && now - it.heard_at < kAdmissionTimeout;
+    out.push_back(std::move(peer));
   }
+  return out;
 }
 
 void Fleet::OnReport(const std::string& vm, const wire::FleetReportT& report) {
@@ -319,7 +353,9 @@
   const TimePoint now = EventLoop::Now();
   Peer& peer = it->second;
   peer.last_report_at = now;
+  peer.heard_at = now;
   peer.has_report = true;
+  peer.limits_kept = std::chrono::milliseconds(report.limits_kept_ms);
   peer.ready = report.ready;
   peer.leaving = report.leaving;
   peer.keys_fresh = report.keys_fresh;
@@ -333,7 +369,7 @@
   for (const auto& load : report.loads)
     peer.loads[{load->service, load->region}] = load->in_flight;
   const uint64_t incarnation = links_->IncarnationOf(vm);
-  limiter_->OnReport(vm, incarnation, FromWire(report.uses), now);
+  limiter_->OnScarceLimits(vm, report.scarce_limits, now);
   for (const auto& notice : report.notices)
     signal_instance_notice.emit(vm, FromWire(*notice));
   notices_->limiter()->OnReport(vm, incarnation, FromWire(report.instance_uses),
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -15,6 +15,7 @@
 #include "traffic/fleet_limiter.h"
 #include "traffic/instance_notices.h"
 #include "traffic/placement.h"
+#include "traffic/workspace_limiter.h"
 
 namespace rwf {
 
@@ -61,8 +62,15 @@
   // A VM whose entry was removed is still assumed to use its share of the rate
   // limits for this long, unless its process is known to have ended.
   static constexpr Duration kDepartedPeerRetention = std::chrono::seconds(6);
+  // A report is overdue after this many periods and the margin. The part of the
+  // fleet whose reports are overdue keeps its part of the limits of workspaces.
+  static constexpr double kOverduePeriods = 1.5;
+  static constexpr Duration kOverdueMargin = std::chrono::milliseconds(200);
+  // A VM that has not been heard for this long admits no requests under a limit
+  // any more: they need a key, and its keys are no longer confirmed.
+  static constexpr Duration kAdmissionTimeout = std::chrono::seconds(5);
 
-  Fleet(EventLoop* loop, FleetVm self, FleetLimiter* limiter,
+  Fleet(EventLoop* loop, FleetVm self, WorkspaceLimiter* limiter,
         InstanceNotices* notices, EventLog* log);
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -96,6 +104,13 @@
   sigc::signal<void(const wire::CrashSuspicionT&)> signal_crash_suspicion;
   sigc::signal<void(const std::string& vm, const SharedNotice&)>
       signal_instance_notice;
+  sigc::signal<void(const std::string& vm, const wire::LimitClaimsT&)>
+      signal_limit_claims;
+  sigc::signal<void(const std::string& vm, const wire::LimitReplyT&)>
+      signal_limit_reply;
+  // Returns which VMs can keep limits of workspaces and which may admit
+  // requests.
+  std::vector<LimitPeer> LimitPeers() const;
   // Returns the longest store contact without a failure among the VMs that
   // reported recently; zero if there is none.
   Duration MaxStoreContact() const;
@@ -140,8 +155,11 @@
     bool leaving = false;
     bool keys_fresh = false;
     bool may_relay = false;
+    Duration limits_kept{};
     Duration store_contact{};
     double requests_per_s = 0;
+    // The last sign of life, or the time since which one is missing.
+    TimePoint heard_at{};
     std::map<std::string, double> shares;
     RegionLoads loads;
   };
@@ -153,6 +171,7 @@
   };
   wire::FleetReportT MakeReport(ReportKind kind);
   Duration ReportPeriod() const;
+  Duration OverdueTime() const;
   bool HasRecentReport(const Peer& it, TimePoint now) const;
   void Tick();
   bool IsUsable(const Peer& it, TimePoint now) const;
@@ -161,7 +180,7 @@
 
   EventLoop* loop_;
   FleetVm self_;
-  FleetLimiter* limiter_;
+  WorkspaceLimiter* limiter_;
   InstanceNotices* notices_;
   EventLog* log_;
   std::unique_ptr<PeerLinks> links_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -80,6 +80,10 @@
     return;
   }
   if (!FindRoute(it) || !CheckKey(it, now) || !CheckRateLimit(it, now)) return;
+  Start(it, now);
+}
+
+void Forwarder::Start(Exchange* it, TimePoint now) {
   Prepare(it, now);
   if (!CheckCrashSuspicion(it, now)) return;
   Duration retry_after{};
@@ -122,12 +126,49 @@
 
 bool Forwarder::CheckRateLimit(Exchange* it, TimePoint now) {
   if (it->workspace == nullptr) return true;
-  if (deps_.limiter->TryAdmit(it->workspace->name, now)) return true;
-  Refuse(it, {429, "rate-limited",
-              deps_.limiter->RetryAfter(it->workspace->name, now)});
+  const WorkspaceLimiter::Ticket ticket = next_limit_ticket_++;
+  const WorkspaceLimiter::Result result =
+      deps_.limiter->Admit(it->workspace->name, ticket, now);
+  switch (result.admission) {
+    case WorkspaceLimiter::Admission::kAdmitted:
+      it->is_admitted = true;
+      return true;
+    case WorkspaceLimiter::Admission::kRefused:
+      RefuseOverLimit(it, result.retry_after);
+      return false;
+    case WorkspaceLimiter::Admission::kWaiting:
+      it->limit_ticket = ticket;
+      limit_tickets_[ticket] = it->caller;
+      return false;
+  }
   return false;
 }
 
+void Forwarder::OnLimitDecided(const WorkspaceLimiter::Decision& decision) {
+  const auto ticket = limit_tickets_.find(decision.ticket);
+  if (ticket == limit_tickets_.end()) return;
+  Exchange* it = exchanges_.at(ticket->second).get();
+  limit_tickets_.erase(ticket);
+  it->limit_ticket = 0;
+  it->is_admitted = decision.is_admitted;
+  if (!decision.is_admitted) {
+    RefuseOverLimit(it, decision.retry_after);
+    return;
+  }
+  Start(it, EventLoop::Now());
+}
+
+void Forwarder::RefuseOverLimit(Exchange* it, Duration retry_after) {
+  const std::string& workspace = it->workspace->name;
+  deps_.log->Request("rate_limited", it->request_id)
+      .Text("workspace", workspace)
+      .Text("keeper", deps_.limiter->KeeperOf(workspace))
+      .Real("reach", deps_.limiter->reach())
+      .Millis("waited_ms", EventLoop::Now() - it->arrived_at)
+      .Millis("retry_after_ms", retry_after);
+  Refuse(it, {429, "rate-limited", retry_after});
+}
+
 void Forwarder::Prepare(Exchange* it, TimePoint now) {
   const TrafficRoute& route = *it->route;
   const int64_t deadline_ms =
@@ -136,7 +177,7 @@
   Duration left = std::chrono::milliseconds(std::max<int64_t>(0, deadline_ms)) -
                   kDeadlineMargin;
   if (route.timeout > Duration::zero()) left = std::min(left, route.timeout);
-  it->deadline = now + std::max(left, Duration::zero());
+  it->deadline = it->arrived_at + std::max(left, Duration::zero());
   PlacementRequest& placement_request = it->placement_request;
   placement_request.service = backend_picker_.Pick(route);
   placement_request.route = route.name;
@@ -524,8 +565,8 @@
     headers.Add(deps_.header_names->retry_after,
                 fmt::format("{:.2f}", ToSeconds(refusal.retry_after)));
   }
-  if (refusal.status == 503 && it->workspace != nullptr)
-    deps_.limiter->Refund(it->workspace->name);
+  if (refusal.status == 503 && it->is_admitted)
+    deps_.limiter->Return(it->workspace->name, EventLoop::Now());
   if (!it->caller_disconnected) {
     deps_.front->Reply(it->caller, refusal.status, headers,
                        fmt::format(R"({{"code":"{}"}})", refusal.code));
@@ -558,6 +599,10 @@
                             ? 0
                             : static_cast<int64_t>(it->catalog->version()))
       .Millis("took_ms", now - it->arrived_at);
+  if (it->limit_ticket != 0) {
+    deps_.limiter->Cancel(it->limit_ticket);
+    limit_tickets_.erase(it->limit_ticket);
+  }
   const CallerId caller = it->caller;
   exchanges_.erase(caller);
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -19,10 +19,10 @@
 #include "traffic/attempt_budget.h"
 #include "traffic/catalog.h"
 #include "traffic/entry_vm_selector.h"
-#include "traffic/fleet_limiter.h"
 #include "traffic/instance_registry.h"
 #include "traffic/key_freshness.h"
 #include "traffic/placement.h"
+#include "traffic/workspace_limiter.h"
 
 namespace rwf {
 
@@ -39,7 +39,7 @@
   InstanceRegistry* registry = nullptr;
   InstanceNotices* notices = nullptr;
   Placement* placement = nullptr;
-  FleetLimiter* limiter = nullptr;
+  WorkspaceLimiter* limiter = nullptr;
   AttemptBudget* budget = nullptr;
   UpstreamPool* pool = nullptr;
   KeyFreshness* freshness = nullptr;
@@ -98,6 +98,9 @@
 
   void Handle(CallerId caller, ReceivedMessage request);
   void OnCallerDisconnected(CallerId caller);
+  // Continues or refuses a request that waited for a decision on the limit of
+  // its workspace.
+  void OnLimitDecided(const WorkspaceLimiter::Decision& decision);
   // Refuses all further requests with a status that tells callers the request
   // did not run.
   void StopAdmitting() { is_stopping_ = true; }
@@ -132,6 +135,9 @@
     std::shared_ptr<const Catalog> catalog;
     const TrafficRoute* route = nullptr;
     const TrafficWorkspace* workspace = nullptr;
+    // Set while the limit of the workspace is undecided.
+    WorkspaceLimiter::Ticket limit_ticket = 0;
+    bool is_admitted = false;  // under that limit
     PlacementRequest placement_request;
     // Equal for requests that do the same.
     Digest fingerprint{};
@@ -155,10 +161,13 @@
   };
 
   // Steps before the first attempt. Those that return false have refused the
-  // request.
+  // request, or keep it waiting.
   bool FindRoute(Exchange* it);
   bool CheckKey(Exchange* it, TimePoint now);
   bool CheckRateLimit(Exchange* it, TimePoint now);
+  void RefuseOverLimit(Exchange* it, Duration retry_after);
+  // Sends the first attempt of a request that may run.
+  void Start(Exchange* it, TimePoint now);
   void Prepare(Exchange* it, TimePoint now);
   // Refuses a request that is suspected of crashing instances.
   bool CheckCrashSuspicion(Exchange* it, TimePoint now);
@@ -205,7 +214,9 @@
   double mean_bytes_per_request_ = kInitialBytesPerRequest;
   bool is_stopping_ = false;
   uint64_t next_attempt_id_ = 1;
+  WorkspaceLimiter::Ticket next_limit_ticket_ = 1;
   std::unordered_map<CallerId, ExchangePtr> exchanges_;
+  std::unordered_map<WorkspaceLimiter::Ticket, CallerId> limit_tickets_;
 };
 
 }  // namespace rwf
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 
 #include "base/digest.h"
 #include "gateway/decision_log.h"
+#include "gateway/limit_codec.h"
 
 namespace rwf {
 namespace {
@@ -32,6 +33,7 @@
                   .max_shift = settings_.max_shift,
                   .pacing_seed = settings_.self.incarnation},
                  &registry_, &notices_),
+      limiter_(settings_.self.vm, EventLoop::Now()),
       pool_(loop),
       fleet_(loop, settings_.self, &limiter_, &notices_, log),
       store_(loop, store, RelayCallbacks()),
@@ -80,6 +82,7 @@
   ConnectRelay();
   ConnectCrashWatch();
   ConnectNotices();
+  ConnectLimits();
   metrics_.AddGauge("rwf_store_changes_relayed_total",
                     "Store change replies received from other VMs",
                     [this] { return double(store_.counters().relayed); });
@@ -113,6 +116,18 @@
       "rwf_instances_waiting",
       "Upstream instances that have asked this VM for a pause",
       [this] { return double(notices_.waiting(EventLoop::Now())); });
+  metrics_.AddGauge("rwf_limits_kept",
+                    "Limits of workspaces that this VM keeps for the fleet",
+                    [this] { return double(limiter_.kept()); });
+  metrics_.AddGauge("rwf_limit_reach",
+                    "Fraction of the VMs whose claims reach this VM",
+                    [this] { return limiter_.reach(); });
+  metrics_.AddGauge("rwf_limit_grants_asked_total",
+                    "Requests that waited for a grant of a limit's keeper",
+                    [this] { return double(limiter_.counters().asked); });
+  metrics_.AddGauge("rwf_limit_keeper_timeouts_total",
+                    "Keepers of limits that did not reply in time",
+                    [this] { return double(limiter_.counters().timeouts); });
   metrics_.AddGauge("rwf_peers", "Known peer VMs",
                     [this] { return double(fleet_.size()); });
   metrics_.AddGauge(
@@ -169,6 +184,52 @@
       });
 }
 
+void Gateway::ConnectLimits() {
+  fleet_.signal_limit_claims.connect([this](const std::string& vm,
+                                            const wire::LimitClaimsT& message) {
+    wire::BodyUnion body;
+    body.Set(ToWire(limiter_.OnClaims(FromWire(message), EventLoop::Now())));
+    fleet_.Send(vm, std::move(body));
+    FlushLimits();
+  });
+  fleet_.signal_limit_reply.connect(
+      [this](const std::string& vm, const wire::LimitReplyT& message) {
+        limiter_.OnReply(vm, FromWire(message), EventLoop::Now());
+        FlushLimits();
+      });
+}
+
+void Gateway::TickLimits() {
+  const TimePoint now = EventLoop::Now();
+  const bool was_settled = limiter_.is_settled();
+  limiter_.SetPeers(fleet_.LimitPeers(), now);
+  limiter_.Tick(now);
+  // The other VMs send their claims here from now on.
+  if (!was_settled && limiter_.is_settled()) fleet_.SendReports();
+  FlushLimits();
+}
+
+void Gateway::FlushLimits() {
+  for (WorkspaceLimiter::Message& it : limiter_.TakeMessages()) {
+    wire::BodyUnion body;
+    body.Set(ToWire(it.claims));
+    fleet_.Send(it.vm, std::move(body));
+  }
+  LimitReply changes{0, limiter_.TakeChanges(EventLoop::Now())};
+  if (!changes.verdicts.empty()) {
+    for (const LimitVerdict& it : changes.verdicts) {
+      log_->State(it.is_scarce ? "limit_scarce" : "limit_plentiful")
+          .Text("workspace", it.name)
+          .Real("reach", limiter_.reach());
+    }
+    wire::MessageT message;
+    message.body.Set(ToWire(changes));
+    fleet_.SendToAll(message);
+  }
+  for (const WorkspaceLimiter::Decision& it : limiter_.TakeDecisions())
+    forwarder_->OnLimitDecided(it);
+}
+
 void Gateway::ConnectRelay() {
   watch_.signal_change.connect(
       [this](const StoreItem& it) { relay_.OnChange(it, BootTimeNow()); });
@@ -206,6 +267,8 @@
   watch_.Start();
   registration_.Start();
   timer_ = loop_->Every(kTickInterval, [this] { Tick(); });
+  limit_timer_ =
+      loop_->Every(WorkspaceLimiter::kClaimInterval, [this] { TickLimits(); });
   return {};
 }
 
@@ -471,6 +534,7 @@
   log_->State("stop").Number(
       "open_requests", static_cast<int64_t>(forwarder_->active_requests()));
   registration_.Stop();
+  limiter_.SetLeaving(true, stop_started_at_);
   front_->CloseAfterResponses();
   Tick();
   stop_timer_ = loop_->Every(kStopCheckInterval, [this] { ContinueStop(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,7 +34,7 @@
   double retry_ratio = 0;  // retries as a fraction of the requests
   double retry_extra = 0;  // additional retries of all VMs together
   Duration retry_window{};
-  FleetLimiter::Tolerance limit_tolerance;
+  LimitTolerance limit_tolerance;
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
 };
@@ -104,6 +104,11 @@
   RelayedStore::Callbacks RelayCallbacks();
   // Takes in what other VMs heard from instances.
   void ConnectNotices();
+  // Exchanges claims on the limits of workspaces with the other VMs.
+  void ConnectLimits();
+  void TickLimits();
+  // Passes on the messages and decisions of the limiter.
+  void FlushLimits();
   // Exchanges crash suspicions with the other VMs.
   void ConnectCrashWatch();
   Duration MaxColdStart() const;
@@ -123,7 +128,7 @@
   InstanceRegistry registry_;
   InstanceNotices notices_;
   Placement placement_;
-  FleetLimiter limiter_;
+  WorkspaceLimiter limiter_;
   AttemptBudget budget_;
   CrashWatch crashes_;
   UpstreamPool pool_;
@@ -146,6 +151,7 @@
   TimePoint stop_started_at_{};
   bool is_listener_closed_ = false;
   std::unique_ptr<Timer> timer_;
+  std::unique_ptr<Timer> limit_timer_;
   std::unique_ptr<Timer> stop_timer_;
   std::unique_ptr<Timer> secret_timer_;
 };
--- a/src/traffic/fleet_limiter.h
+++ b/src/traffic/fleet_limiter.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "traffic/catalog.h"
+#include "traffic/limit_messages.h"
 
 namespace rwf {
 
@@ -65,13 +66,7 @@
   // transit.
   static constexpr double kUsableRateFraction = 1.0;
 
-  // Admissions permitted beyond rate and burst within a window, across all VMs.
-  struct Tolerance {
-    double ratio = 0;
-    double requests = 0;
-    Duration window = std::chrono::seconds(5);
-    friend bool operator==(const Tolerance&, const Tolerance&) = default;
-  };
+  using Tolerance = LimitTolerance;
   // Fraction of the tolerance that a process starts with. What the VMs spent
   // before all of them were restarted is unknown, and the rest of the tolerance
   // covers reports in transit.
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -238,7 +238,7 @@
   platform::ResponseNoticeDecoder notice_decoder;
   InstanceNotices notices;
   Placement placement{PlacementSettings{"r"}, &registry, &notices};
-  FleetLimiter limiter;
+  WorkspaceLimiter limiter{"vm", EventLoop::Now()};
   AttemptBudget budget;
   UpstreamPool pool{&loop};
   KeyFreshness freshness{std::chrono::seconds(60)};
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -20,7 +20,7 @@
  protected:
   struct Vm {
     FleetVm info;
-    FleetLimiter limiter;
+    std::unique_ptr<WorkspaceLimiter> limiter;
     InstanceNotices notices;
     std::unique_ptr<Fleet> fleet;
     std::vector<SharedNotice> heard;
@@ -40,7 +40,9 @@
     for (Vm& vm : vms) Connect(&vm);
   }
   void Connect(Vm* vm) {
-    vm->fleet = std::make_unique<Fleet>(&loop, vm->info, &vm->limiter,
+    vm->limiter =
+        std::make_unique<WorkspaceLimiter>(vm->info.vm, EventLoop::Now());
+    vm->fleet = std::make_unique<Fleet>(&loop, vm->info, vm->limiter.get(),
                                         &vm->notices, &log);
     vm->fleet->signal_instance_notice.connect(
         [vm](const std::string&, const SharedNotice& it) {
