--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -1,5 +1,7 @@
 #include "gateway/registration.h"
 
+#include <algorithm>
+
 namespace rwf {
 
 Registration::Registration(EventLoop* loop, RevisionStore* store,
@@ -22,13 +24,19 @@
   timer_ = loop_->After(delay, [this, step] { (this->*step)(); });
 }
 
+void Registration::Retry(void (Registration::*step)()) {
+  Schedule(retry_delay_, step);
+  retry_delay_ = std::min(retry_delay_ * 2, kMaxRetryDelay);
+}
+
 void Registration::Grant() {
   store_->Grant(kLeaseTtl, [this](const Result<GrantedLease>& lease) {
     if (!lease) {
-      Schedule(kRetryDelay, &Registration::Grant);
+      Retry(&Registration::Grant);
       return;
     }
     lease_ = lease->id;
+    retry_delay_ = kRetryDelay;
     Write();
   });
 }
@@ -40,11 +48,12 @@
   store_->Write({key_, value_, lease_, false, 0},
                 [this](const Result<uint64_t>& done) {
                   if (done) {
+                    retry_delay_ = kRetryDelay;
                     Schedule(kRenewInterval, &Registration::Renew);
                   } else if (done.error().code == StoreErrc::kNotHeld) {
-                    Schedule(kRetryDelay, &Registration::Grant);
+                    Retry(&Registration::Grant);
                   } else {
-                    Schedule(kRetryDelay, &Registration::Write);
+                    Retry(&Registration::Write);
                   }
                 });
 }
@@ -52,11 +61,12 @@
 void Registration::Renew() {
   store_->KeepAlive(lease_, [this](const Result<bool>& done) {
     if (done) {
+      retry_delay_ = kRetryDelay;
       Schedule(kRenewInterval, &Registration::Renew);
     } else if (done.error().code == StoreErrc::kNotHeld) {
       Grant();
     } else {
-      Schedule(kRetryDelay, &Registration::Renew);
+      Retry(&Registration::Renew);
     }
   });
 }
