Take only requests that end before a planned stop does

Change: a leaving VM refuses, as not run, what its deadline would let last beyond the stop. The test fails without it: 200 instead of 503.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -85,6 +85,10 @@
 
 void Forwarder::Start(Exchange* it, TimePoint now) {
   Prepare(it, now);
+  if (it->deadline > stop_at_) {
+    Refuse(it, {503, "stopping", kStoppingRetryAfter});
+    return;
+  }
   if (!CheckCrashSuspicion(it, now)) return;
   Duration retry_after{};
   const char* reason = "";
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -104,6 +104,8 @@
   // Refuses all further requests with a status that tells callers the request
   // did not run.
   void StopAdmitting() { is_stopping_ = true; }
+  // From now on, refuses requests that may last beyond this time.
+  void SetStopTime(TimePoint stop_at) { stop_at_ = stop_at; }
   // Mean rate of caller requests per second.
   double RequestsPerSecond(TimePoint now) const {
     return arrivals_.PerSecond(now);
@@ -213,6 +215,7 @@
   RateMeter arrivals_{kArrivalWindow};
   double mean_bytes_per_request_ = kInitialBytesPerRequest;
   bool is_stopping_ = false;
+  TimePoint stop_at_ = TimePoint::max();
   uint64_t next_attempt_id_ = 1;
   WorkspaceLimiter::Ticket next_limit_ticket_ = 1;
   std::unordered_map<CallerId, ExchangePtr> exchanges_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -536,6 +536,8 @@
       "open_requests", static_cast<int64_t>(forwarder_->active_requests()));
   registration_.Stop();
   limiter_.SetLeaving(true, stop_started_at_);
+  forwarder_->SetStopTime(stop_started_at_ + settings_.stop_timeout -
+                          kStopMargin - kStopCheckInterval);
   front_->CloseAfterResponses();
   Tick();
   stop_timer_ = loop_->Every(kStopCheckInterval, [this] { ContinueStop(); });
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -540,6 +540,25 @@
   CHECK(forwarder->active_requests() == 0);
 }
 
+// Guards against a planned stop that takes requests late and cuts them at its
+// end, those that may not be repeated among them.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Stop, planned, takes only requests that end before it") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& it) { return FullResponse(it); });
+  AddInstance("i1", instance.port);
+  // The route allows 0.9 s.
+  forwarder->SetStopTime(EventLoop::Now() + std::chrono::milliseconds(1500));
+  CHECK(SendRequest(RequestText("/once/", "id1")).status == 200);
+  forwarder->SetStopTime(EventLoop::Now() + std::chrono::milliseconds(800));
+  for (const char* path : {"/once/", "/safe/"}) {
+    const ReceivedMessage response = SendRequest(RequestText(path, "id2"));
+    CHECK(response.status == 503);
+    CHECK(response.headers.Has("Retry-After"));
+  }
+  CHECK(instance.requests == 1);
+}
+
 // Guards against work for callers that have disconnected.
 // Guards against refusing every request of a route whose requests name no
 // object once the region is full (docs/incidents/config-added-routes.md).
