Allow for a slow store when a watch is tried again

Cause: the watches that follow a failure waited 20 ms and ended after 0.52 s; a store that takes longer would have looked like one that is away. Reads allow for it in one of three attempts. Change: so do watches. Found by reading; the new check fails without it.

--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -23,8 +23,7 @@
 void StoreWatch::Load(const std::string& after) {
   requested_at_ = boot_now_();
   if (after.empty()) load_requested_at_ = requested_at_;
-  const bool is_probe = failures_ % kAttemptsPerFullTimeout != 0;
-  store_->Range("", after, is_probe ? kProbeTimeout : kLoadTimeout,
+  store_->Range("", after, IsProbe() ? kProbeTimeout : kLoadTimeout,
                 [this](Result<ItemPage> page) { OnPage(std::move(page)); });
 }
 
@@ -69,9 +68,14 @@
   Watch();
 }
 
+Duration StoreWatch::WatchWait() const {
+  if (!is_failing()) return kWatchWait;
+  return IsProbe() ? kProbeWait : kPatientProbeWait;
+}
+
 void StoreWatch::Watch() {
   requested_at_ = boot_now_();
-  watch_wait_ = is_failing() ? kProbeWait : kWatchWait;
+  watch_wait_ = WatchWait();
   store_->Watch("", revision_, watch_wait_, [this](Result<ChangeSet> changes) {
     OnChanges(std::move(changes));
   });
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -28,7 +28,7 @@
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(300);
   // Timeouts for loading one page. Without contact to the store, most calls use
   // the short timeout, so that its recovery is noticed soon; one in three
-  // allows for a slow store.
+  // allows for a slow store. Watches do the same by their wait time.
   static constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
   static constexpr int kAttemptsPerFullTimeout = 3;
@@ -41,8 +41,9 @@
   static constexpr Duration kBackoffPerVm = std::chrono::milliseconds(8);
   static constexpr Duration kMaxFleetBackoff = std::chrono::milliseconds(800);
   // Wait time of a watch after a failure: it tells at once that the store
-  // answers again.
+  // answers again. One in three waits longer, and so allows for a slow store.
   static constexpr Duration kProbeWait = std::chrono::milliseconds(20);
+  static constexpr Duration kPatientProbeWait = std::chrono::milliseconds(1000);
 
   // `boot_now` returns the time of a clock that keeps running while the VM is
   // suspended.
@@ -85,6 +86,8 @@
   void OnPage(Result<ItemPage> page);
   void FinishLoad();
   void Watch();
+  Duration WatchWait() const;
+  bool IsProbe() const { return failures_ % kAttemptsPerFullTimeout != 0; }
   void OnChanges(Result<ChangeSet> changes);
   void Deliver(const StoreItem& item);
   void RecordSuccess();
--- a/src/traffic/fleet_limiter.h
+++ b/src/traffic/fleet_limiter.h
@@ -22,7 +22,8 @@
 };
 
 // Holds each of a set of named limits to its rate and burst across all VMs
-// together: the requests of a workspace, or those that an instance takes.
+// together: the requests that an instance takes. WorkspaceLimiter does this for
+// the requests of workspaces, which are many more than VMs.
 //
 // Every VM keeps a replica of one token bucket per limit and subtracts what its
 // peers report as admitted. While the level of the bucket is high, a VM
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -19,9 +20,10 @@
              Callback<ItemPage> done) override {
     ranges.push_back(std::move(done));
   }
-  void Watch(const std::string&, uint64_t revision, Duration,
+  void Watch(const std::string&, uint64_t revision, Duration wait,
              Callback<ChangeSet> done) override {
     watched_from = revision;
+    longest_wait = std::max(longest_wait, wait);
     watches.push_back(std::move(done));
   }
   void Write(const ItemWrite&, Callback<uint64_t>) override {}
@@ -32,6 +34,7 @@
   std::deque<Callback<ItemPage>> ranges;
   std::deque<Callback<ChangeSet>> watches;
   uint64_t watched_from = 0;
+  Duration longest_wait{};
 };
 
 class StoreWatchFixture {
@@ -174,8 +177,11 @@
   watch.Start();
   CompleteRange({{"a", "1", 1, false}, {"b", "1", 2, false}}, 3);
   CompleteWatch(Fail(StoreErrc::kThrottled, "turned away"));
+  store.longest_wait = {};
   FailWatchesFor(std::chrono::seconds(1));
   CHECK(store.ranges.empty());
+  // Some attempts allow for a store that is slow.
+  CHECK(store.longest_wait == StoreWatch::kPatientProbeWait);
   while (store.watches.empty()) RunFor(50 * kMillisecond);
   CHECK(store.watched_from == 3);
   CompleteWatch(ChangeSet{{{"a", "", 4, true}, {"c", "1", 5, false}}, 5});
