Run the tests of limits as a program of their own

Cause: the simulated fleets made traffic_test several times longer; without optimization under sanitizers it did not end within ten minutes. No check was changed.

--- a/bench/limits_bench.cc
+++ b/bench/limits_bench.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "../tests/traffic/limit_fleet.h"
+#include "../tests/limits/limit_fleet.h"
 #include "traffic/fleet_limiter.h"
 
 // Prints how the limits of workspaces are used by fleets of several sizes, as
--- a/tests/traffic/workspace_limiter_test.cc
+++ b/tests/limits/workspace_limiter_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "traffic/limit_fleet.h"
+#include "limits/limit_fleet.h"
 
 namespace rwf {
 namespace {
