--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,7 +66,7 @@
   deps.local_vm_count = [this] { return fleet_.VmsInRegion(); };
   forwarder_ = std::make_unique<Forwarder>(std::move(deps));
   limiter_.SetTolerance(settings_.limit_tolerance);
-  ApplyFleetSize();
+  SetRetryBounds();
   watch_.signal_item.connect([this](const StoreItem& it) { OnItem(it); });
   watch_.signal_removed.connect(
       [this](const std::string& key) { OnRemoved(key); });
@@ -288,7 +288,7 @@
     const Result<FleetVm> parsed = ParseFleetVm(vm, item.value);
     if (parsed) {
       fleet_.OnListed(*parsed);
-      ApplyFleetSize();
+      SetRetryBounds();
     } else {
       log_->State("entry_unusable")
           .Text("key", item.key)
@@ -326,7 +326,7 @@
 void Gateway::OnRemoved(const std::string& key) {
   if (key.starts_with(kVmPrefix)) {
     fleet_.OnUnlisted(key.substr(kVmPrefix.size()));
-    ApplyFleetSize();
+    SetRetryBounds();
     return;
   }
   const StoreRemoval removal = decoder_->DecodeRemoval(key);
@@ -348,7 +348,7 @@
 }
 
 void Gateway::OnLoaded() {
-  ApplyFleetSize();
+  SetRetryBounds();
   if (!fleet_.is_started()) ScheduleSecretWrite();
 }
 
@@ -461,8 +461,7 @@
   log_->State("zone_evacuation_ended").Text("zone", zone);
 }
 
-void Gateway::ApplyFleetSize() {
-  watch_.SetFleetSize(1 + fleet_.size());
+void Gateway::SetRetryBounds() {
   // The number of VMs that share the allowance is known only after the list has
   // been read.
   const double allowance =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,7 +98,7 @@
   void OnUnusable(const std::string& key, const UnusableEntry& entry);
   void RemoveInstance(const std::string& id, const char* reason);
   void EndEvacuation(const std::string& zone);
-  void ApplyFleetSize();
+  void SetRetryBounds();
   // Connects the components that relay store changes between VMs.
   void ConnectRelay();
   RelayedStore::Callbacks RelayCallbacks();
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -1,7 +1,5 @@
 #include "gateway/registration.h"
 
-#include <algorithm>
-
 namespace rwf {
 
 Registration::Registration(EventLoop* loop, RevisionStore* store,
@@ -24,19 +22,13 @@
   timer_ = loop_->After(delay, [this, step] { (this->*step)(); });
 }
 
-void Registration::Retry(void (Registration::*step)()) {
-  Schedule(retry_delay_, step);
-  retry_delay_ = std::min(retry_delay_ * 2, kMaxRetryDelay);
-}
-
 void Registration::Grant() {
   store_->Grant(kLeaseTtl, [this](const Result<GrantedLease>& lease) {
     if (!lease) {
-      Retry(&Registration::Grant);
+      Schedule(kRetryDelay, &Registration::Grant);
       return;
     }
     lease_ = lease->id;
-    retry_delay_ = kRetryDelay;
     Write();
   });
 }
@@ -48,12 +40,11 @@
   store_->Write({key_, value_, lease_, false, 0},
                 [this](const Result<uint64_t>& done) {
                   if (done) {
-                    retry_delay_ = kRetryDelay;
                     Schedule(kRenewInterval, &Registration::Renew);
                   } else if (done.error().code == StoreErrc::kNotHeld) {
-                    Retry(&Registration::Grant);
+                    Schedule(kRetryDelay, &Registration::Grant);
                   } else {
-                    Retry(&Registration::Write);
+                    Schedule(kRetryDelay, &Registration::Write);
                   }
                 });
 }
@@ -61,12 +52,11 @@
 void Registration::Renew() {
   store_->KeepAlive(lease_, [this](const Result<bool>& done) {
     if (done) {
-      retry_delay_ = kRetryDelay;
       Schedule(kRenewInterval, &Registration::Renew);
     } else if (done.error().code == StoreErrc::kNotHeld) {
       Grant();
     } else {
-      Retry(&Registration::Renew);
+      Schedule(kRetryDelay, &Registration::Renew);
     }
   });
 }
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -20,9 +20,7 @@
   // keys.
   static constexpr Duration kLeaseTtl = std::chrono::seconds(8);
   static constexpr Duration kRenewInterval = std::chrono::milliseconds(2500);
-  // Delay after a failed call, doubled with each further failure.
   static constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
-  static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1200);
 
   Registration(EventLoop* loop, RevisionStore* store, std::string key,
                std::string value);
@@ -38,15 +36,12 @@
   void Write();
   void Renew();
   void Schedule(Duration delay, void (Registration::*step)());
-  // Schedules a step after a failed call.
-  void Retry(void (Registration::*step)());
 
   EventLoop* loop_;
   RevisionStore* store_;
   std::string key_;
   std::string value_;
   uint64_t lease_ = 0;
-  Duration retry_delay_ = kRetryDelay;
   bool is_stopped_ = false;
   std::unique_ptr<Timer> timer_;
 };
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -15,15 +15,11 @@
   Load("");
 }
 
-void StoreWatch::SetFleetSize(size_t vms) {
-  max_backoff_ = std::clamp(kBackoffPerVm * static_cast<int64_t>(vms),
-                            kMaxBackoff, kMaxFleetBackoff);
-}
-
 void StoreWatch::Load(const std::string& after) {
   requested_at_ = boot_now_();
   if (after.empty()) load_requested_at_ = requested_at_;
-  store_->Range("", after, IsProbe() ? kProbeTimeout : kLoadTimeout,
+  const bool is_probe = failures_ % kAttemptsPerFullTimeout != 0;
+  store_->Range("", after, is_probe ? kProbeTimeout : kLoadTimeout,
                 [this](Result<ItemPage> page) { OnPage(std::move(page)); });
 }
 
@@ -68,15 +64,9 @@
   Watch();
 }
 
-Duration StoreWatch::WatchWait() const {
-  if (!is_failing()) return kWatchWait;
-  return IsProbe() ? kProbeWait : kPatientProbeWait;
-}
-
 void StoreWatch::Watch() {
   requested_at_ = boot_now_();
-  watch_wait_ = WatchWait();
-  store_->Watch("", revision_, watch_wait_, [this](Result<ChangeSet> changes) {
+  store_->Watch("", revision_, kWatchWait, [this](Result<ChangeSet> changes) {
     OnChanges(std::move(changes));
   });
 }
@@ -104,9 +94,9 @@
   revision_ = std::max(revision_, changes->revision);
   const TimePoint now = boot_now_();
   const bool is_empty = changes->events.empty();
-  const bool waited_in_full = is_empty && now - requested_at_ >= watch_wait_;
+  const bool waited_in_full = is_empty && now - requested_at_ >= kWatchWait;
   const Duration current_after = changes->current_after.value_or(
-      waited_in_full ? watch_wait_ : Duration::zero());
+      waited_in_full ? kWatchWait : Duration::zero());
   signal_confirmed.emit(requested_at_ + current_after);
   if (is_empty && now - requested_at_ >= kBatchDelay) {
     Watch();
@@ -146,8 +136,9 @@
 void StoreWatch::HandleFailure(const Error& error) {
   last_failure_ = EventLoop::Now();
   if (++failures_ == 1) failing_since_ = last_failure_;
-  // A load begins anew. A watch goes on from its revision, as the store tells
-  // if it no longer has the changes since then.
+  // Missed changes are recovered by a full load; also, a range call is answered
+  // at once where a watch would wait.
+  needs_load_ = true;
   if (is_connected_ || !has_signaled_connection_) {
     is_connected_ = false;
     has_signaled_connection_ = true;
@@ -164,7 +155,7 @@
       Watch();
     }
   });
-  backoff_ = std::min(backoff_ * 2, max_backoff_);
+  backoff_ = std::min(backoff_ * 2, kMaxBackoff);
 }
 
 }  // namespace rwf
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -28,7 +28,7 @@
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(300);
   // Timeouts for loading one page. Without contact to the store, most calls use
   // the short timeout, so that its recovery is noticed soon; one in three
-  // allows for a slow store. Watches do the same by their wait time.
+  // allows for a slow store.
   static constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
   static constexpr int kAttemptsPerFullTimeout = 3;
@@ -36,14 +36,6 @@
   static constexpr Duration kMinOutage = std::chrono::milliseconds(600);
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(200);
-  // The longest backoff grows with the fleet, since each VM calls the store
-  // that has turned it away, up to a time for which keys stay confirmed.
-  static constexpr Duration kBackoffPerVm = std::chrono::milliseconds(8);
-  static constexpr Duration kMaxFleetBackoff = std::chrono::milliseconds(800);
-  // Wait time of a watch after a failure: it tells at once that the store
-  // answers again. One in three waits longer, and so allows for a slow store.
-  static constexpr Duration kProbeWait = std::chrono::milliseconds(20);
-  static constexpr Duration kPatientProbeWait = std::chrono::milliseconds(1000);
 
   // `boot_now` returns the time of a clock that keeps running while the VM is
   // suspended.
@@ -53,8 +45,6 @@
   StoreWatch& operator=(const StoreWatch&) = delete;
 
   void Start();
-  // Sets the number of VMs that call the store.
-  void SetFleetSize(size_t vms);
 
   bool is_loaded() const { return is_loaded_; }
   bool is_connected() const { return is_connected_; }
@@ -86,8 +76,6 @@
   void OnPage(Result<ItemPage> page);
   void FinishLoad();
   void Watch();
-  Duration WatchWait() const;
-  bool IsProbe() const { return failures_ % kAttemptsPerFullTimeout != 0; }
   void OnChanges(Result<ChangeSet> changes);
   void Deliver(const StoreItem& item);
   void RecordSuccess();
@@ -107,14 +95,12 @@
   bool has_signaled_connection_ = false;
   TimePoint requested_at_{};  // boot time of the current call
   TimePoint load_requested_at_{};
-  Duration watch_wait_{};  // of the current call
   TimePoint last_success_{};
   TimePoint last_failure_{};
   TimePoint failing_since_{};
   TimePoint outage_end_{};
   TimePoint outage_begin_{};
   Duration backoff_ = kInitialBackoff;
-  Duration max_backoff_ = kMaxBackoff;
   int failures_ = 0;  // since the last success
   std::unique_ptr<Timer> retry_timer_;
 };
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -20,10 +19,9 @@
              Callback<ItemPage> done) override {
     ranges.push_back(std::move(done));
   }
-  void Watch(const std::string&, uint64_t revision, Duration wait,
+  void Watch(const std::string&, uint64_t revision, Duration,
              Callback<ChangeSet> done) override {
     watched_from = revision;
-    longest_wait = std::max(longest_wait, wait);
     watches.push_back(std::move(done));
   }
   void Write(const ItemWrite&, Callback<uint64_t>) override {}
@@ -34,7 +32,6 @@
   std::deque<Callback<ItemPage>> ranges;
   std::deque<Callback<ChangeSet>> watches;
   uint64_t watched_from = 0;
-  Duration longest_wait{};
 };
 
 class StoreWatchFixture {
@@ -59,18 +56,6 @@
     store.watches.pop_front();
     done(std::move(changes));
   }
-  // Fails all watches in this time and returns their number.
-  int FailWatchesFor(Duration d) {
-    int failed = 0;
-    const TimePoint end = EventLoop::Now() + d;
-    while (EventLoop::Now() < end) {
-      RunFor(20 * kMillisecond);
-      if (store.watches.empty()) continue;
-      CompleteWatch(Fail(StoreErrc::kUnavailable, "down"));
-      ++failed;
-    }
-    return failed;
-  }
   // Runs the loop for the given time.
   void RunFor(Duration d) {
     const auto timer = loop.After(d, [this] { loop.Stop(); });
@@ -157,51 +142,23 @@
   CompleteRange({}, 1);
   CompleteWatch(Fail(StoreErrc::kUnavailable, "cut"));
   RunFor(2 * StoreWatch::kInitialBackoff);
-  CompleteWatch(ChangeSet{{}, 1});
+  CompleteRange({}, 1);
   CHECK_FALSE(watch.had_outage());
-  while (store.watches.empty()) RunFor(50 * kMillisecond);
   CompleteWatch(Fail(StoreErrc::kUnavailable, "down"));
-  FailWatchesFor(2 * StoreWatch::kMinOutage);
-  while (store.watches.empty()) RunFor(50 * kMillisecond);
+  const TimePoint end = EventLoop::Now() + 2 * StoreWatch::kMinOutage;
+  while (EventLoop::Now() < end) {
+    RunFor(50 * kMillisecond);
+    if (store.ranges.empty()) continue;
+    const auto done = std::move(store.ranges.front());
+    store.ranges.pop_front();
+    done(Fail(StoreErrc::kUnavailable, "down"));
+  }
+  while (store.ranges.empty()) RunFor(50 * kMillisecond);
   CHECK(watch.is_failing());
-  CompleteWatch(ChangeSet{{}, 1});
+  CompleteRange({}, 1);
   CHECK(watch.had_outage());
   CHECK_FALSE(watch.is_failing());
 }
 
-// Load pattern: the store turns VMs away for seconds. Guards against reading
-// all entries again with each attempt, and against losing what was written and
-// removed meanwhile.
-TEST_CASE_FIXTURE(StoreWatchFixture,
-                  "Watch, store fails and returns, goes on from its revision") {
-  watch.Start();
-  CompleteRange({{"a", "1", 1, false}, {"b", "1", 2, false}}, 3);
-  CompleteWatch(Fail(StoreErrc::kThrottled, "turned away"));
-  store.longest_wait = {};
-  FailWatchesFor(std::chrono::seconds(1));
-  CHECK(store.ranges.empty());
-  // Some attempts allow for a store that is slow.
-  CHECK(store.longest_wait == StoreWatch::kPatientProbeWait);
-  while (store.watches.empty()) RunFor(50 * kMillisecond);
-  CHECK(store.watched_from == 3);
-  CompleteWatch(ChangeSet{{{"a", "", 4, true}, {"c", "1", 5, false}}, 5});
-  CHECK(items == std::map<std::string, std::string>{{"b", "1"}, {"c", "1"}});
-  CHECK(store.ranges.empty());
-}
-
-// Load pattern: a store that is down for all VMs. Guards against calls that
-// grow with the fleet.
-TEST_CASE_FIXTURE(StoreWatchFixture,
-                  "Watch, store down for a large fleet, calls less often") {
-  watch.Start();
-  CompleteRange({}, 1);
-  watch.SetFleetSize(118);
-  CompleteWatch(Fail(StoreErrc::kUnavailable, "down"));
-  const int calls = FailWatchesFor(std::chrono::seconds(4));
-  // Four doublings, then one call each 0.8 s.
-  CHECK(calls <= 9);
-  CHECK(calls >= 4);
-}
-
 }  // namespace
 }  // namespace rwf
