Test requests that wait for the grant of a limit

Change: two cases with a keeper that grants, refuses and falls silent, and with a caller who leaves while the request waits. One comment reworded.

--- a/src/traffic/workspace_limiter.h
+++ b/src/traffic/workspace_limiter.h
@@ -27,7 +27,7 @@
 
 // Holds each workspace to its rate and burst across all VMs.
 //
-// One VM keeps the limit of a workspace, chosen by rendezvous hashing among the
+// One VM keeps the limit of a workspace, found by rendezvous hashing among the
 // linked VMs. All VMs admit requests freely and tell the keeper every
 // kClaimInterval. Only while the keeper says that tokens are scarce does a
 // request wait for its grant. So the messages of a VM grow with its own
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -540,6 +541,81 @@
   CHECK(forwarder->active_requests() == 0);
 }
 
+// The keeper of the workspace's limit is another VM, which says that tokens are
+// scarce.
+class ScarceLimitFixture : public DataPathFixture {
+ protected:
+  ScarceLimitFixture() {
+    TrafficWorkspace workspace;
+    workspace.name = "w";
+    workspace.rate = workspace.burst = 10;
+    limiter.SetTolerance({0.1, 20, std::chrono::seconds(5)});
+    limiter.SetLimits({workspace}, EventLoop::Now());
+    for (int n = 0; keeper.empty(); ++n) {
+      const std::string vm = "peer" + std::to_string(n);
+      limiter.SetPeers({{vm, true, true, {}, true}}, EventLoop::Now());
+      if (limiter.KeeperOf("w") == vm) keeper = vm;
+    }
+    limiter.OnScarceLimits(keeper, {"w"}, EventLoop::Now());
+    timer = loop.Every(WorkspaceLimiter::kClaimInterval, [this] { Tick(); });
+    RunFor(WorkspaceLimiter::kAnnounceTime * 2);
+  }
+  void RunFor(Duration time) {
+    const auto end = loop.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+  void Tick() {
+    const TimePoint now = EventLoop::Now();
+    limiter.Tick(now);
+    for (const WorkspaceLimiter::Message& it : limiter.TakeMessages()) {
+      ++asked;
+      if (!verdict) continue;
+      limiter.OnReply(keeper, {it.claims.id, {*verdict}}, now);
+    }
+    for (const WorkspaceLimiter::Decision& it : limiter.TakeDecisions())
+      forwarder->OnLimitDecided(it);
+  }
+
+  std::string keeper;
+  std::optional<LimitVerdict> verdict;  // absent: the keeper is silent
+  int asked = 0;
+  std::unique_ptr<Timer> timer;
+};
+
+// Guards against requests that are lost or run without a token while the keeper
+// decides.
+TEST_CASE_FIXTURE(ScarceLimitFixture,
+                  "Limit, scarce, follows the keeper and outlives its loss") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& it) { return FullResponse(it); });
+  AddInstance("i1", instance.port);
+  verdict = LimitVerdict{"w", 1, {}, true};
+  CHECK(SendRequest(RequestText("/once/", "id1")).status == 200);
+  CHECK(asked >= 1);
+  verdict = LimitVerdict{"w", 0, std::chrono::milliseconds(400), true};
+  const ReceivedMessage refused = SendRequest(RequestText("/once/", "id2"));
+  CHECK(refused.status == 429);
+  CHECK(refused.headers.Get("Retry-After") == "0.40");
+  CHECK(instance.requests == 1);
+  // This VM keeps the limit when the keeper does not reply.
+  verdict.reset();
+  CHECK(SendRequest(RequestText("/once/", "id3")).status == 200);
+  CHECK(instance.requests == 2);
+}
+
+TEST_CASE_FIXTURE(ScarceLimitFixture,
+                  "Limit, caller leaves while it is undecided, ends the "
+                  "request") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& it) { return FullResponse(it); });
+  AddInstance("i1", instance.port);
+  SendRequest(RequestText("/once/", "id1"), true);
+  RunFor(WorkspaceLimiter::kMaxWait);
+  CHECK(forwarder->active_requests() == 0);
+  CHECK(limiter.waiting() == 0);
+  CHECK(instance.requests == 0);
+}
+
 // Guards against a planned stop that takes requests late and cuts them at its
 // end, those that may not be repeated among them.
 TEST_CASE_FIXTURE(DataPathFixture,
