--- a/review/common/world.py
+++ b/review/common/world.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
@@ -265,10 +266,10 @@
     if not os.access(PROGRAM, os.X_OK):
         print(f"{PROGRAM} is missing: run the build of deploy/system.toml", file=sys.stderr)
         sys.exit(2)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(run(case, TROUBLE), 118))
     except Exception as e:  # the case itself failed
-        import traceback
         traceback.print_exc()
         print(f"the case could not run: {e}", file=sys.stderr)
         sys.exit(2)
