--- a/review/1/run.py
+++ b/review/1/run.py
@@ -4,7 +4,7 @@
 import sys
 
 CASE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(CASE), "common"))
+sys.path.insert(0, os.path.dirname(CASE))
 
 from world import World, main, quota_breaches, rule  # noqa: E402
 
--- a/review/common/world.py
+++ b/review/world.py
@@ -13,7 +13,7 @@
 import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-ROOT = os.path.dirname(os.path.dirname(HERE))
+ROOT = os.path.dirname(HERE)
 sys.path.insert(0, HERE)
 
 from path import Path  # noqa: E402
