Log and count what broken runs are taken for

Nothing told why a request that crashes instances was not suspected. Each run whose connection breaks now ends with a line broken_run and a count in rwf_broken_runs_total: suspected, common-cause, not-confirmed or kept-connection. The decisions are as before.

--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -31,6 +31,11 @@
                .Name("rwf_refused_placements_total")
                .Help("Requests that no instance could take, by main cause")
                .Register(registry_)),
+      broken_runs_(
+          &prometheus::BuildCounter()
+               .Name("rwf_broken_runs_total")
+               .Help("Runs whose connection broke, by what they were taken for")
+               .Register(registry_)),
       lookups_(&prometheus::BuildCounter()
                     .Name("rwf_lookups_total")
                     .Help("Look-ups served")
@@ -60,6 +65,10 @@
   failures_->Add({{"cause", cause}}).Increment();
 }
 
+void Metrics::CountBrokenRun(const std::string& verdict) {
+  broken_runs_->Add({{"verdict", verdict}}).Increment();
+}
+
 void Metrics::CountRefusedPlacement(const std::string& cause) {
   refused_placements_->Add({{"cause", cause}}).Increment();
 }
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -32,6 +32,9 @@
   // most of them.
   void CountRefusedPlacement(const std::string& cause);
 
+  // Counts a run whose connection broke, by what it was taken for.
+  void CountBrokenRun(const std::string& verdict);
+
   // Registers a gauge whose value `read` supplies at each collection. Names of
   // values that only increase end in `_total`.
   void AddGauge(const std::string& name, const std::string& help,
@@ -45,6 +48,7 @@
   prometheus::Family<prometheus::Histogram>* latencies_;
   prometheus::Family<prometheus::Counter>* failures_;
   prometheus::Family<prometheus::Counter>* refused_placements_;
+  prometheus::Family<prometheus::Counter>* broken_runs_;
   prometheus::Counter* lookups_;
   prometheus::Counter* retries_;
   std::map<std::pair<std::string, std::string>, prometheus::Counter*>
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -1,9 +1,16 @@
 #include "gateway/crash_watch.h"
 
 #include <algorithm>
+#include <array>
 
 namespace rwf {
 
+const char* BrokenRunVerdictName(BrokenRunVerdict verdict) {
+  static constexpr std::array<const char*, 4> kNames = {
+      "suspected", "common-cause", "not-confirmed", "kept-connection"};
+  return kNames[static_cast<size_t>(verdict)];
+}
+
 void CrashWatch::OnSent(const std::string& instance,
                         const Digest& fingerprint) {
   guard_.OnSent(instance, fingerprint);
@@ -25,7 +32,15 @@
   if (it == broken_runs_.end()) return;
   const std::vector<BrokenRun> runs = std::move(it->second);
   broken_runs_.erase(it);
-  if (!IsMassCrash(runs.front().at)) {
+  const size_t at_once = InstancesBrokenAt(runs.front().at);
+  const BrokenRunVerdict verdict = at_once < kMinMassCrashInstances
+                                       ? BrokenRunVerdict::kSuspected
+                                       : BrokenRunVerdict::kCommonCause;
+  for (const BrokenRun& run : runs) {
+    signal_settled.emit(
+        {run.fingerprint, instance, verdict, now - run.at, at_once});
+  }
+  if (verdict == BrokenRunVerdict::kSuspected) {
     Publish(guard_.OnCrash(instance, now));
     return;
   }
@@ -33,13 +48,19 @@
     Publish(guard_.OnFinished(instance, run.fingerprint, false, now));
 }
 
-bool CrashWatch::IsMassCrash(TimePoint at) const {
+void CrashWatch::OnKeptConnectionLost(const std::string& instance,
+                                      const Digest& fingerprint) {
+  signal_settled.emit({fingerprint, instance, BrokenRunVerdict::kKeptConnection,
+                       Duration::zero(), 0});
+}
+
+size_t CrashWatch::InstancesBrokenAt(TimePoint at) const {
   const auto n = std::count_if(first_broken_at_.begin(), first_broken_at_.end(),
                                [&](const auto& it) {
                                  return at - it.second < kMassCrashWindow &&
                                         it.second - at < kMassCrashWindow;
                                });
-  return static_cast<size_t>(n) >= kMinMassCrashInstances;
+  return static_cast<size_t>(n);
 }
 
 void CrashWatch::OnMessage(const wire::CrashSuspicionT& message,
@@ -50,8 +71,11 @@
 void CrashWatch::Tick(TimePoint now) {
   for (auto& [instance, runs] : broken_runs_) {
     for (const BrokenRun& run : runs) {
-      if (now - run.at > kCrashConfirmWindow)
-        Publish(guard_.OnFinished(instance, run.fingerprint, false, now));
+      if (now - run.at <= kCrashConfirmWindow) continue;
+      signal_settled.emit({run.fingerprint, instance,
+                           BrokenRunVerdict::kNotConfirmed, now - run.at,
+                           InstancesBrokenAt(run.at)});
+      Publish(guard_.OnFinished(instance, run.fingerprint, false, now));
     }
     std::erase_if(runs, [&](const BrokenRun& run) {
       return now - run.at > kCrashConfirmWindow;
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -2,6 +2,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,6 +12,27 @@
 
 namespace rwf {
 
+// What a run whose connection broke was taken for.
+enum class BrokenRunVerdict : uint8_t {
+  kSuspected,       // its instance ended: the request may be the cause
+  kCommonCause,     // many instances ended at once
+  kNotConfirmed,    // its instance was not seen to end in time
+  kKeptConnection,  // the instance may have closed an idle connection
+};
+const char* BrokenRunVerdictName(BrokenRunVerdict verdict);
+
+struct SettledBrokenRun {
+  Digest fingerprint{};
+  std::string instance;
+  BrokenRunVerdict verdict = BrokenRunVerdict::kSuspected;
+  Duration age{};  // since the connection broke
+  // Instances, this one included, at which connections broke at about the same
+  // time.
+  size_t instances_at_once = 0;
+  friend bool operator==(const SettledBrokenRun&,
+                         const SettledBrokenRun&) = default;
+};
+
 // Distinguishes requests that crash instances from requests whose responses
 // were lost. A connection that breaks during a run counts as a crash only if
 // the instance is seen to have ended soon after: it refuses connections, its
@@ -40,6 +62,11 @@
   // Discards broken runs whose instance is still alive.
   void Tick(TimePoint now);
 
+  // Records a run that broke on a kept connection before a response.
+  void OnKeptConnectionLost(const std::string& instance,
+                            const Digest& fingerprint);
+  // Emitted once for each run whose connection broke.
+  sigc::signal<void(const SettledBrokenRun&)> signal_settled;
   // Emitted for each suspicion that must be sent to all other VMs.
   sigc::signal<void(const wire::CrashSuspicionT&)> signal_suspicion;
 
@@ -48,7 +75,8 @@
     Digest fingerprint{};
     TimePoint at{};
   };
-  bool IsMassCrash(TimePoint at) const;
+  // Returns the number of instances at which connections broke at about `at`.
+  size_t InstancesBrokenAt(TimePoint at) const;
   void Publish(const std::vector<wire::CrashSuspicionT>& messages) const;
 
   CrashGuard guard_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -391,6 +391,8 @@
       : is_declined       ? AttemptOutcome::kDeclined
                           : outcome;
   FinishAttempt(*it, attempt, health_outcome, now);
+  if (is_stale_connection)
+    deps_.crashes->OnKeptConnectionLost(attempt.instance, it->fingerprint);
   if (result.outcome == SendOutcome::kResponded)
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,10 @@
 constexpr uint64_t kMaxSecretDelayMs = 600;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
+std::string LoggedDigest(const Digest& digest) {
+  return ToHex(digest).substr(0, kLoggedDigestDigits);
+}
+
 }  // namespace
 
 Gateway::Gateway(EventLoop* loop, GatewaySettings settings,
@@ -161,9 +165,18 @@
 }
 
 void Gateway::ConnectCrashWatch() {
+  crashes_.signal_settled.connect([this](const SettledBrokenRun& it) {
+    const char* verdict = BrokenRunVerdictName(it.verdict);
+    metrics_.CountBrokenRun(verdict);
+    log_->Request("broken_run", LoggedDigest(it.fingerprint))
+        .Text("instance", it.instance)
+        .Text("verdict", verdict)
+        .Millis("age_ms", it.age)
+        .Number("at_once", static_cast<int64_t>(it.instances_at_once));
+  });
   crashes_.signal_suspicion.connect([this](const wire::CrashSuspicionT& it) {
     log_->State(it.cleared ? "crash_suspicion_cleared" : "crash_suspected")
-        .Text("request", ToHex(it.fingerprint).substr(0, kLoggedDigestDigits))
+        .Text("request", LoggedDigest(it.fingerprint))
         .Text("instance", it.upstream);
     wire::MessageT message;
     message.body.Set(wire::CrashSuspicionT(it));
