--- a/tests/gateway/crash_watch_test.cc
+++ b/tests/gateway/crash_watch_test.cc
@@ -62,6 +62,27 @@
   CHECK_FALSE(Vm(0).IsBlocked(CrashFingerprint("w", "GET", "/a/2", ""), now));
 }
 
+// Guards against taking the ends of a request's own making for a common cause:
+// two copies at one VM end four instances within half a second
+// (docs/incidents/budget-of-crashing-requests.md).
+TEST_CASE_FIXTURE(
+    CrashWatchFixture,
+    "Request, copies crash four instances within half a second, is blocked") {
+  for (int n = 0; n < 4; ++n) Vm(0).OnSent("i" + std::to_string(n), poison);
+  for (int n = 0; n < 4; ++n) {
+    now += 40 * kMillisecond;
+    Vm(0).OnRunEnded("i" + std::to_string(n), poison, false, true, now);
+  }
+  now += 50 * kMillisecond;
+  for (int n = 0; n < 4; ++n)
+    Vm(0).OnInstanceEnded("i" + std::to_string(n), now);
+  for (int n = 0; n < 20; ++n) {
+    now += 100 * kMillisecond;
+    for (CrashWatch& it : watches) it.Tick(now);
+  }
+  for (size_t vm = 0; vm < 3; ++vm) CHECK(Vm(vm).IsBlocked(poison, now));
+}
+
 // Guards against blaming requests for lost responses, or for instances that end
 // later for other reasons.
 TEST_CASE_FIXTURE(
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,7 +28,8 @@
 class ScriptedInstance {
  public:
   // Returns the bytes to send in reply to the received bytes. A leading "CLOSE"
-  // closes the connection after the rest has been sent.
+  // closes the connection after the rest has been sent; "CRASH" ends the
+  // instance: it closes all connections and listens no more.
   using Script = std::function<std::string(const std::string& received)>;
 
   ScriptedInstance(EventLoop* loop, Script script)
@@ -46,9 +48,15 @@
     base_ = loop->base();
   }
   ~ScriptedInstance() {
+    if (listener_ != nullptr) Crash();
+  }
+  void Crash() {
     evconnlistener_free(listener_);
+    listener_ = nullptr;
     for (const auto& [bev, text] : received_) bufferevent_free(bev);
+    received_.clear();
   }
+  bool has_crashed() const { return listener_ == nullptr; }
 
   uint16_t port = 0;
   int requests = 0;
@@ -78,6 +86,10 @@
     self->last_request = text;
     std::string response = self->script_(text);
     text.clear();
+    if (response == "CRASH") {
+      self->Crash();
+      return;
+    }
     const bool closes = response.starts_with("CLOSE");
     if (closes) response.erase(0, 5);
     bufferevent_write(bev, response.data(), response.size());
@@ -541,6 +553,83 @@
   CHECK(forwarder->active_requests() == 0);
 }
 
+// Six instances that end when they run a request whose path contains "crash".
+class CrashingRequestFixture : public DataPathFixture {
+ public:
+  CrashingRequestFixture() {
+    for (int n = 0; n < 6; ++n) {
+      instances.push_back(
+          std::make_unique<ScriptedInstance>(&loop, [](const std::string& it) {
+            const bool crashes =
+                it.substr(0, it.find('\r')).find("crash") != std::string::npos;
+            return crashes ? "CRASH" : FullResponse(it);
+          }));
+    }
+    timer = loop.Every(std::chrono::milliseconds(100),
+                       [this] { crashes.Tick(EventLoop::Now()); });
+  }
+  void AddInstances(bool with_kept_connections) {
+    for (size_t n = 0; n < instances.size(); ++n) {
+      const std::string id = "i" + std::to_string(n);
+      AddInstance(id, instances[n]->port);
+      if (!with_kept_connections) continue;
+      REQUIRE(SendRequest(RequestText("/safe/x", id)).status == 200);
+      registry.Find(id)->OnReport(12, 0, EventLoop::Now());
+    }
+    for (size_t n = 0; n < instances.size(); ++n)
+      registry.Find("i" + std::to_string(n))->OnReport(0, 0, EventLoop::Now());
+  }
+  // Sends the request and lets half a second pass.
+  int Send(const std::string& path, const std::string& id) {
+    const int status = SendRequest(RequestText(path, id)).status;
+    // An instance that has ended gets no further requests, which would find it
+    // ended.
+    for (size_t n = 0; n < instances.size(); ++n) {
+      if (instances[n]->has_crashed())
+        registry.Find("i" + std::to_string(n))
+            ->OnReport(60, 0, EventLoop::Now());
+    }
+    const auto end =
+        loop.After(std::chrono::milliseconds(500), [this] { loop.Stop(); });
+    loop.Run();
+    return status;
+  }
+  int CrashedInstances() const {
+    return static_cast<int>(
+        std::count_if(instances.begin(), instances.end(),
+                      [](const auto& it) { return it->has_crashed(); }));
+  }
+
+  std::vector<std::unique_ptr<ScriptedInstance>> instances;
+  std::unique_ptr<Timer> timer;
+};
+
+// Sends a crashing request four times.
+void CheckCrashesTwoInstances(bool with_kept_connections) {
+  for (const std::string path : {"/safe/crash", "/once/crash"}) {
+    CAPTURE(path);
+    CrashingRequestFixture fixture;
+    fixture.AddInstances(with_kept_connections);
+    for (int n = 0; n < 4; ++n)
+      CHECK(fixture.Send(path, "id" + std::to_string(n)) == 502);
+    CHECK(fixture.CrashedInstances() == 2);
+    CHECK(fixture.Send("/safe/x", "other") == 200);
+  }
+}
+
+// Guards against sending on a request that crashes instances because nothing
+// else finds out that they have ended
+// (docs/incidents/budget-of-crashing-requests.md).
+TEST_CASE("Request, crashes instances that get nothing else, is stopped") {
+  CheckCrashesTwoInstances(/*with_kept_connections=*/false);
+}
+
+// Guards against taking the crash of an instance for the close of an idle
+// connection (docs/incidents/budget-of-crashing-requests.md).
+TEST_CASE("Request, crashes instances on kept connections, is stopped") {
+  CheckCrashesTwoInstances(/*with_kept_connections=*/true);
+}
+
 // The keeper of the workspace's limit is another VM, which says that tokens are
 // scarce.
 class ScarceLimitFixture : public DataPathFixture {
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,6 +11,7 @@
 
 from callers import Caller, exchange
 from checks import Checks, Sent
+import crashing
 from faults import FAULTS
 from instance import Instance
 from notices import Notices
@@ -42,6 +43,7 @@
         self.final_counts = collections.Counter()
         self.is_final_phase = False
         self.routes = [("GET", "/read/"), ("POST", "/write/"), ("GET", "/file/")]
+        self.routes += crashing.PREFIXES.items()
         self.tenants = {name: f"key-{name}-{seed}" for name in ("large", "small", "spare1", "spare2")}
         self.withdrawn = {}
         self.version = 1
@@ -58,6 +60,7 @@
             it = Instance(self, f"i{i}", service, zones[i % 4], listen_address, shown)
             it.proxy = Proxy(shown, listen_address)
             self.instances.append(it)
+        self.crashing = crashing.Crashing(self, seed, zones)
         self.peer_proxies = collections.defaultdict(list)
 
     def clock(self):
@@ -104,6 +107,9 @@
             await it.start()
             await it.proxy.start()
             it.register()
+        for it in self.crashing.instances:
+            await it.start()
+            it.register()
         self.publish_config()
         for vm in self.vms:
             vm.start()
@@ -119,7 +125,9 @@
                     "action": {"service": service, "timeout_s": 3, "max_attempts": 2, "allowed_regions": []}}
 
         rules = [rule("read", "/read/", "safe", "desk"), rule("write", "/write/", "unsafe", "desk"),
-                 rule("file", "/file/", "download", "till")]
+                 rule("file", "/file/", "download", "till"),
+                 rule("annex", crashing.PREFIXES["GET"], "safe", crashing.SERVICE),
+                 rule("annex-once", crashing.PREFIXES["POST"], "unsafe", crashing.SERVICE)]
         rules += [rule(f"v{n}", f"/v{n}/", "safe", "till") for n in self.added_versions[-8:]]
         tenants = [{"name": name, "api_keys": [] if name in self.withdrawn else [key], "priority": 1,
                     "rate_per_s": self.rate, "burst": self.rate, "allowed_regions": []}
@@ -129,7 +137,7 @@
                                "idle_timeout_s": 15},
                     "listeners": [{"host": HOST, "rules": rules}],
                     "clusters": [{"name": name, "health_path": "/healthz", "max_conns": 300, "cold_start_s": 1,
-                                  "cold_per_s": 50} for name in ("desk", "till")]}
+                                  "cold_per_s": 50} for name in ("desk", "till", crashing.SERVICE)]}
         self.store.put("op/config", json.dumps(document))
         self.checks.versions[self.version] = self.clock()
         self.checks.limits = {it["name"]: (it["rate_per_s"], it["burst"]) for it in tenants}
@@ -137,7 +145,7 @@
     async def refresh_registrations(self):
         while True:
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
-            for it in self.instances:
+            for it in self.instances + self.crashing.instances:
                 # An entry is not rewritten only to advance its sequence.
                 if it.server.is_serving() and f"servers/{it.name}" not in self.store.items:
                     it.register()
@@ -199,8 +207,10 @@
         jobs += [Caller(world, n).run() for n in range(world.caller_count)]
         tasks = [asyncio.create_task(it) for it in jobs]
         await asyncio.sleep(2)
-        await asyncio.gather(world.inject(args.seconds, faults.append),
-                             world.notices.run(args.seconds, faults.append))
+        injected = [world.crashing.run(args.seconds, faults.append)]
+        if not args.only_crashing:
+            injected += [world.inject(args.seconds, faults.append), world.notices.run(args.seconds, faults.append)]
+        await asyncio.gather(*injected)
         await asyncio.sleep(RECOVERY_S - 3)
         world.is_final_phase = True
         await asyncio.sleep(3)
@@ -239,6 +249,7 @@
     parser.add_argument("--slot", type=int, default=0, help="0 to 9: loopback addresses 127.(20 + slot).0.0/16")
     parser.add_argument("--out", default=os.path.join(ROOT, "build", "soak"))
     parser.add_argument("--program", default=os.path.join(ROOT, "build", "bin", "redwingferry-vm"))
+    parser.add_argument("--only-crashing", action="store_true", help="no faults but requests that crash instances")
     parser.add_argument("--keep", action="store_true", help="keep the logs of seeds without a violation")
     args = parser.parse_args()
     try:
