Probe an instance after a connection to it broke

Cause: an end counts only if it is seen within 3 s, and nothing looked for it: a broken run sends few requests to the instance, its entry goes after 3 to 4.5 s.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -52,7 +52,12 @@
                    std::chrono::nanoseconds(ts.tv_nsec));
 }
 
-Forwarder::Forwarder(ForwarderDependencies deps) : deps_(std::move(deps)) {}
+Forwarder::Forwarder(ForwarderDependencies deps)
+    : deps_(std::move(deps)), prober_(deps_.loop, deps_.pool) {
+  prober_.signal_ended.connect([this](const std::string& instance) {
+    deps_.crashes->OnInstanceEnded(instance, EventLoop::Now());
+  });
+}
 
 Forwarder::~Forwarder() = default;
 
@@ -535,6 +540,10 @@
                             outcome == AttemptOutcome::kBroken, now);
   if (outcome == AttemptOutcome::kConnectFailed)
     deps_.crashes->OnInstanceEnded(attempt.instance, now);
+  if (outcome == AttemptOutcome::kBroken && state != nullptr) {
+    const InstanceInfo& info = state->info();
+    prober_.Probe({info.id, info.address, info.port});
+  }
 }
 
 void Forwarder::CancelAttempts(Exchange* it) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -14,6 +14,7 @@
 #include "gateway/event_log.h"
 #include "gateway/front_server.h"
 #include "gateway/header_names.h"
+#include "gateway/instance_prober.h"
 #include "gateway/notice_decoder.h"
 #include "gateway/upstream_pool.h"
 #include "traffic/attempt_budget.h"
@@ -208,6 +209,7 @@
   bool TakeRetryBudget(const Exchange& it, TimePoint now);
 
   ForwarderDependencies deps_;
+  InstanceProber prober_;
   std::shared_ptr<const Catalog> catalog_;
   BackendPicker backend_picker_;
   // Longest deadline seen from the callers of each route.
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
 namespace rwf {
@@ -26,6 +27,12 @@
   return std::chrono::seconds(std::max(0, n));
 }
 
+// A refusal that connect() reports at once reaches the event callback without
+// an error code, so the errors of an unreachable host are excluded instead.
+bool IsRefusal(int ec) {
+  return ec != ETIMEDOUT && ec != EHOSTUNREACH && ec != ENETUNREACH;
+}
+
 }  // namespace
 
 UpstreamPool::Connection::~Connection() {
@@ -92,16 +99,12 @@
   inet_pton(AF_INET, target.address.c_str(), &to.sin_addr);
   connections_.emplace(it, std::move(owned));
   ++counters_.opened;
-  it->connect_timer = loop_->After(kConnectTimeout, [this, it] {
-    ++counters_.connect_failures;
-    Complete(it, {SendOutcome::kConnectFailed, {}, false, false}, false);
-  });
+  it->connect_timer =
+      loop_->After(kConnectTimeout, [this, it] { OnConnectFailed(it, false); });
   if (bufferevent_socket_connect(it->bev, reinterpret_cast<sockaddr*>(&to),
                                  sizeof(to)) != 0) {
-    it->connect_timer = loop_->After(Duration::zero(), [this, it] {
-      ++counters_.connect_failures;
-      Complete(it, {SendOutcome::kConnectFailed, {}, false, false}, false);
-    });
+    it->connect_timer = loop_->After(
+        Duration::zero(), [this, it] { OnConnectFailed(it, false); });
     return it;
   }
   const evutil_socket_t fd = bufferevent_getfd(it->bev);
@@ -112,6 +115,21 @@
   return it;
 }
 
+void UpstreamPool::Probe(const UpstreamTarget& target, ProbeCallback callback) {
+  Open(target)->probe_callback = std::move(callback);
+}
+
+void UpstreamPool::OnConnectFailed(Connection* it, bool is_refused) {
+  ++counters_.connect_failures;
+  if (it->probe_callback == nullptr) {
+    Complete(it, {SendOutcome::kConnectFailed, {}, false, false}, false);
+    return;
+  }
+  const ProbeCallback callback = std::move(it->probe_callback);
+  EraseConnection(it);
+  callback(is_refused);
+}
+
 void UpstreamPool::Write(Connection* it) {
   it->state = State::kBusy;
   it->parser.Reset(it->request.is_head);
@@ -226,14 +244,20 @@
   UpstreamPool* pool = it->pool;
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     it->connect_timer.reset();
-    pool->Write(it);
+    if (it->probe_callback == nullptr) {
+      pool->Write(it);
+      return;
+    }
+    const ProbeCallback callback = std::move(it->probe_callback);
+    it->probe_callback = nullptr;
+    bufferevent_enable(it->bev, EV_READ | EV_WRITE);
+    pool->KeepOrErase(it, true);
+    callback(false);
     return;
   }
   switch (it->state) {
     case State::kConnecting:
-      ++pool->counters_.connect_failures;
-      pool->Complete(it, {SendOutcome::kConnectFailed, {}, false, false},
-                     false);
+      pool->OnConnectFailed(it, IsRefusal(EVUTIL_SOCKET_ERROR()));
       return;
     case State::kIdle:
       pool->Remove(it);
@@ -264,6 +288,11 @@
   busy_.erase(it->send_id);
   it->send_id = 0;
   it->callback = nullptr;
+  KeepOrErase(it, keep_open);
+  callback(result);
+}
+
+void UpstreamPool::KeepOrErase(Connection* it, bool keep_open) {
   std::vector<Connection*>& idle_list = idle_[it->target.instance];
   if (keep_open && idle_list.size() < kMaxIdlePerInstance &&
       it->idle_limit > Duration::zero()) {
@@ -274,7 +303,6 @@
   } else {
     EraseConnection(it);
   }
-  callback(result);
 }
 
 void UpstreamPool::Cancel(SendId id) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -48,6 +48,7 @@
  public:
   using SendId = uint64_t;
   using Callback = std::function<void(const SendResult&)>;
+  using ProbeCallback = std::function<void(bool is_refused)>;
 
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
   // An idle connection is not reused after this time, or one second before the
@@ -91,6 +92,9 @@
   // Calls back exactly once, from the loop, unless cancelled. Only connecting
   // has a timeout; for anything else the sender calls Cancel.
   SendId Send(const UpstreamTarget& target, Request request, Callback callback);
+  // Opens a connection and keeps it for later requests. Calls back from the
+  // loop; `is_refused` means that nothing listens at the address.
+  void Probe(const UpstreamTarget& target, ProbeCallback callback);
   // Closes the connection of a request, which tells the instance to abort it.
   void Cancel(SendId id);
   // Closes the idle connections of an instance that is draining or removed.
@@ -113,6 +117,7 @@
     SendId send_id = 0;
     Request request;
     Callback callback;
+    ProbeCallback probe_callback;  // set while a probe connects
     bool was_used = false;
     // A response to an earlier request arrived, so the connection is closed
     // after the current request.
@@ -127,6 +132,9 @@
 
   Connection* TakeIdle(const UpstreamTarget& target, bool is_idempotent);
   Connection* Open(const UpstreamTarget& target);
+  void OnConnectFailed(Connection* it, bool is_refused);
+  // Makes a connection idle, or closes it if it may not be reused.
+  void KeepOrErase(Connection* it, bool keep_open);
   void Write(Connection* it);
   void ReadResponse(Connection* it);
   enum class ResponseOrigin : uint8_t {
