Count broken runs on kept connections as possible crashes

Cause: the forwarder reported such a run as cancelled, because the instance may just have closed an idle connection; that holds for the instance's health, not for the question whether it has ended, which the probe answers. Responses that are complete but unusable no longer count as lost connections.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -6,8 +6,8 @@
 namespace rwf {
 
 const char* BrokenRunVerdictName(BrokenRunVerdict verdict) {
-  static constexpr std::array<const char*, 4> kNames = {
-      "suspected", "common-cause", "not-confirmed", "kept-connection"};
+  static constexpr std::array<const char*, 3> kNames = {
+      "suspected", "common-cause", "not-confirmed"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
@@ -48,12 +48,6 @@
     Publish(guard_.OnFinished(instance, run.fingerprint, false, now));
 }
 
-void CrashWatch::OnKeptConnectionLost(const std::string& instance,
-                                      const Digest& fingerprint) {
-  signal_settled.emit({fingerprint, instance, BrokenRunVerdict::kKeptConnection,
-                       Duration::zero(), 0});
-}
-
 size_t CrashWatch::InstancesBrokenAt(TimePoint at) const {
   const auto n = std::count_if(first_broken_at_.begin(), first_broken_at_.end(),
                                [&](const auto& it) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -14,10 +14,9 @@
 
 // What a run whose connection broke was taken for.
 enum class BrokenRunVerdict : uint8_t {
-  kSuspected,       // its instance ended: the request may be the cause
-  kCommonCause,     // many instances ended at once
-  kNotConfirmed,    // its instance was not seen to end in time
-  kKeptConnection,  // the instance may have closed an idle connection
+  kSuspected,     // its instance ended: the request may be the cause
+  kCommonCause,   // many instances ended at once
+  kNotConfirmed,  // its instance was not seen to end in time
 };
 const char* BrokenRunVerdictName(BrokenRunVerdict verdict);
 
@@ -62,9 +61,6 @@
   // Discards broken runs whose instance is still alive.
   void Tick(TimePoint now);
 
-  // Records a run that broke on a kept connection before a response.
-  void OnKeptConnectionLost(const std::string& instance,
-                            const Digest& fingerprint);
   // Emitted once for each run whose connection broke.
   sigc::signal<void(const SettledBrokenRun&)> signal_settled;
   // Emitted for each suspicion that must be sent to all other VMs.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -395,9 +395,8 @@
       is_stale_connection ? AttemptOutcome::kCancelled
       : is_declined       ? AttemptOutcome::kDeclined
                           : outcome;
-  FinishAttempt(*it, attempt, health_outcome, now);
-  if (is_stale_connection)
-    deps_.crashes->OnKeptConnectionLost(attempt.instance, it->fingerprint);
+  FinishAttempt(*it, attempt, health_outcome,
+                result.outcome == SendOutcome::kBroken, now);
   if (result.outcome == SendOutcome::kResponded)
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
@@ -507,7 +506,8 @@
   const TimePoint now = EventLoop::Now();
   const bool is_sent = !it->attempts.empty() || it->may_have_run;
   for (const Attempt& attempt : it->attempts) {
-    FinishAttempt(*it, attempt, AttemptOutcome::kTimedOut, now);
+    FinishAttempt(*it, attempt, AttemptOutcome::kTimedOut,
+                  /*connection_lost=*/false, now);
     deps_.pool->Cancel(attempt.send_id);
   }
   it->attempts.clear();
@@ -532,15 +532,16 @@
 }
 
 void Forwarder::FinishAttempt(const Exchange& it, const Attempt& attempt,
-                              AttemptOutcome outcome, TimePoint now) {
+                              AttemptOutcome outcome, bool connection_lost,
+                              TimePoint now) {
   InstanceState* state = deps_.registry->Find(attempt.instance);
   if (state != nullptr) state->OnEnded(attempt.id, outcome, now);
   deps_.crashes->OnRunEnded(attempt.instance, it.fingerprint,
                             outcome == AttemptOutcome::kSucceeded,
-                            outcome == AttemptOutcome::kBroken, now);
+                            connection_lost, now);
   if (outcome == AttemptOutcome::kConnectFailed)
     deps_.crashes->OnInstanceEnded(attempt.instance, now);
-  if (outcome == AttemptOutcome::kBroken && state != nullptr) {
+  if (connection_lost && state != nullptr) {
     const InstanceInfo& info = state->info();
     prober_.Probe({info.id, info.address, info.port});
   }
@@ -549,7 +550,8 @@
 void Forwarder::CancelAttempts(Exchange* it) {
   const TimePoint now = EventLoop::Now();
   for (const Attempt& attempt : it->attempts) {
-    FinishAttempt(*it, attempt, AttemptOutcome::kCancelled, now);
+    FinishAttempt(*it, attempt, AttemptOutcome::kCancelled,
+                  /*connection_lost=*/false, now);
     deps_.pool->Cancel(attempt.send_id);
   }
   it->attempts.clear();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -202,7 +202,8 @@
                       const std::string& instance);
   // Records the outcome of an attempt for its instance and for crash detection.
   void FinishAttempt(const Exchange& it, const Attempt& attempt,
-                     AttemptOutcome outcome, TimePoint now);
+                     AttemptOutcome outcome, bool connection_lost,
+                     TimePoint now);
   void CancelAttempts(Exchange* it);
   double ColdRate(const Exchange& it) const;
   // Takes one further attempt from the retry budget.
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -624,6 +624,25 @@
   CheckCrashesTwoInstances(/*with_kept_connections=*/false);
 }
 
+// Guards against blaming a request whose responses are lost while its instance
+// lives, and against wasting the connections that probe it.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Request, connections break at a live instance, goes on") {
+  ScriptedInstance instance(
+      &loop, [](const std::string&) { return std::string("CLOSE"); });
+  AddInstance("i1", instance.port);
+  for (int n = 1; n <= 3; ++n) {
+    CHECK(SendRequest(RequestText("/once/x", "id")).status == 502);
+    CHECK(instance.requests == n);
+    const auto end =
+        loop.After(InstanceProber::kDelay * 4, [this] { loop.Stop(); });
+    loop.Run();
+    crashes.Tick(EventLoop::Now());
+    CHECK(pool.connections() == 1);
+  }
+  CHECK(pool.counters().reused == 2);
+}
+
 // Guards against taking the crash of an instance for the close of an idle
 // connection (docs/incidents/budget-of-crashing-requests.md).
 TEST_CASE("Request, crashes instances on kept connections, is stopped") {
