Blame requests that explain why many instances ended at once

Cause: four ends within 0.5 s counted as a common cause and blamed nobody, so the request's own ends excused it. Now a common cause is assumed only if no requests that several of the instances ran, and that have not succeeded lately, explain most of the ends; the decision waits until the ends of the same moment are known. Silent hosts blame nobody, an instance that responds later lives, and a VM whose own runs of a suspected request succeed clears it.

The case "many instances end at once, is not blocked" let one request run alone at 18 instances that closed its connections, and asserted the rule that is the fault. Five cases replace it: the same with hosts that are silent, the same with a request that has succeeded, killed instances that ran many requests, two crashing requests at once, and instances that go on.

--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "once/crash_guard.h"
@@ -14,8 +15,10 @@
 
 // What a run whose connection broke was taken for.
 enum class BrokenRunVerdict : uint8_t {
-  kSuspected,     // its instance ended: the request may be the cause
-  kCommonCause,   // many instances ended at once
+  kSuspected,    // its instance ended: the request may be the cause
+  kCommonCause,  // many instances ended at once, and no request explains it
+  kSucceeded,    // the same request succeeds elsewhere
+  kInstanceLives,
   kNotConfirmed,  // its instance was not seen to end in time
 };
 const char* BrokenRunVerdictName(BrokenRunVerdict verdict);
@@ -25,8 +28,7 @@
   std::string instance;
   BrokenRunVerdict verdict = BrokenRunVerdict::kSuspected;
   Duration age{};  // since the connection broke
-  // Instances, this one included, at which connections broke at about the same
-  // time.
+  // Instances, this one included, that ended at about the same time.
   size_t instances_at_once = 0;
   friend bool operator==(const SettledBrokenRun&,
                          const SettledBrokenRun&) = default;
@@ -38,27 +40,33 @@
 // entry is removed, or it has restarted.
 class CrashWatch {
  public:
-  // If an instance ends within this time after a broken run, the run is
-  // considered the cause. A crashed instance restarts within a few seconds.
-  static constexpr Duration kCrashConfirmWindow = std::chrono::seconds(3);
-  // Crashes of at least this many instances within kMassCrashWindow have a
-  // common cause, such as a power failure of a zone, and are not attributed to
-  // requests.
+  // If an instance is seen to have ended within this time after a broken run,
+  // the run is considered the cause. The entry of an instance that ends goes
+  // after three heartbeats, and is heard of up to two seconds later.
+  static constexpr Duration kCrashConfirmWindow = std::chrono::seconds(7);
+  // If at least this many instances end within kMassCrashWindow, a common cause
+  // such as a power failure is assumed, unless requests that several of them
+  // ran explain most of the ends.
   static constexpr size_t kMinMassCrashInstances = 4;
   static constexpr Duration kMassCrashWindow = std::chrono::milliseconds(500);
+  // A request that succeeded this recently is not the cause of a crash.
+  static constexpr Duration kSuccessRetention = std::chrono::seconds(3);
 
   bool IsBlocked(const Digest& fingerprint, TimePoint now) const {
     return guard_.IsBlocked(fingerprint, now);
   }
-  void OnSent(const std::string& instance, const Digest& fingerprint);
-  // `connection_lost` means that the connection ended during the run.
+  // `connection_lost` means that the instance ended the connection during the
+  // run.
   void OnRunEnded(const std::string& instance, const Digest& fingerprint,
                   bool succeeded, bool connection_lost, TimePoint now);
+  // The instance responded to a request that was sent at `sent_at`.
+  void OnInstanceResponded(const std::string& instance, TimePoint sent_at,
+                           TimePoint now);
   // The instance refused a connection, was removed or restarted.
   void OnInstanceEnded(const std::string& instance, TimePoint now);
   // Handles a suspicion reported by another VM.
   void OnMessage(const wire::CrashSuspicionT& message, TimePoint now);
-  // Discards broken runs whose instance is still alive.
+  // Settles broken runs for which the time has come.
   void Tick(TimePoint now);
 
   // Emitted once for each run whose connection broke.
@@ -71,14 +79,33 @@
     Digest fingerprint{};
     TimePoint at{};
   };
-  // Returns the number of instances at which connections broke at about `at`.
-  size_t InstancesBrokenAt(TimePoint at) const;
+  // Runs of one instance that broke, oldest first.
+  struct BrokenRuns {
+    std::vector<BrokenRun> runs;
+    bool has_ended = false;
+    bool is_settled = false;
+    TimePoint last_at() const { return runs.back().at; }
+    bool Contains(const Digest& fingerprint) const;
+  };
+  using BrokenRunsMap = std::map<std::string, BrokenRuns>;  // by instance
+
+  // Returns the instances whose connections broke at about the same time.
+  std::vector<const BrokenRuns*> BrokenAt(TimePoint at, bool only_ended) const;
+  void SettleIfDue(const std::string& instance, BrokenRuns* broken,
+                   TimePoint now);
+  BrokenRunVerdict Judge(const Digest& fingerprint,
+                         const std::vector<const BrokenRuns*>& ended) const;
+  // True if several of the instances ran the request, so that it may have ended
+  // them.
+  bool IsCandidate(const Digest& fingerprint,
+                   const std::vector<const BrokenRuns*>& ended) const;
+  void Settle(const std::string& instance, const BrokenRun& run,
+              BrokenRunVerdict verdict, size_t at_once, TimePoint now);
   void Publish(const std::vector<wire::CrashSuspicionT>& messages) const;
 
   CrashGuard guard_;
-  std::map<std::string, std::vector<BrokenRun>> broken_runs_;  // by instance
-  // Time of the first recent broken run of each instance, for IsMassCrash.
-  std::map<std::string, TimePoint> first_broken_at_;
+  BrokenRunsMap broken_;
+  std::unordered_map<Digest, TimePoint> succeeded_at_;
 };
 
 }  // namespace rwf
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -263,7 +263,6 @@
   attempt.is_remote = choice.is_remote;
   choice.instance->OnSent(attempt.id, it->placement_request.object,
                           choice.healthy_latency, now);
-  deps_.crashes->OnSent(info.id, it->fingerprint);
   attempt.expected_wait = choice.expected_total - choice.expected;
   it->placement_request.tried.push_back(info.id);
   ++it->send_count;
@@ -395,8 +394,14 @@
       is_stale_connection ? AttemptOutcome::kCancelled
       : is_declined       ? AttemptOutcome::kDeclined
                           : outcome;
+  if (is_from_instance)
+    deps_.crashes->OnInstanceResponded(attempt.instance, attempt.started_at,
+                                       now);
+  // A host that has lost its power or its network is silent; one whose process
+  // has crashed is not.
   FinishAttempt(*it, attempt, health_outcome,
-                result.outcome == SendOutcome::kBroken, now);
+                result.outcome == SendOutcome::kBroken && !result.was_silent,
+                now);
   if (result.outcome == SendOutcome::kResponded)
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
@@ -539,7 +544,8 @@
   deps_.crashes->OnRunEnded(attempt.instance, it.fingerprint,
                             outcome == AttemptOutcome::kSucceeded,
                             connection_lost, now);
-  if (outcome == AttemptOutcome::kConnectFailed)
+  if (outcome == AttemptOutcome::kConnectFailed ||
+      outcome == AttemptOutcome::kMisdirected)
     deps_.crashes->OnInstanceEnded(attempt.instance, now);
   if (connection_lost && state != nullptr) {
     const InstanceInfo& info = state->info();
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -27,10 +27,11 @@
   return std::chrono::seconds(std::max(0, n));
 }
 
-// A refusal that connect() reports at once reaches the event callback without
-// an error code, so the errors of an unreachable host are excluded instead.
-bool IsRefusal(int ec) {
-  return ec != ETIMEDOUT && ec != EHOSTUNREACH && ec != ENETUNREACH;
+// True for the errors of a host that is silent. All others count as its
+// process's refusal: one that connect() reports at once reaches the event
+// callback without an error code.
+bool IsSilence(int ec) {
+  return ec == ETIMEDOUT || ec == EHOSTUNREACH || ec == ENETUNREACH;
 }
 
 }  // namespace
@@ -257,7 +258,7 @@
   }
   switch (it->state) {
     case State::kConnecting:
-      pool->OnConnectFailed(it, IsRefusal(EVUTIL_SOCKET_ERROR()));
+      pool->OnConnectFailed(it, !IsSilence(EVUTIL_SOCKET_ERROR()));
       return;
     case State::kIdle:
       pool->Remove(it);
@@ -265,6 +266,8 @@
     case State::kBusy:
       break;
   }
+  const bool was_silent =
+      (what & BEV_EVENT_ERROR) != 0 && IsSilence(EVUTIL_SOCKET_ERROR());
   const bool has_begun = it->parser.has_begun();
   // A response without a length is complete only after a clean close.
   if ((what & BEV_EVENT_EOF) != 0) it->parser.FeedEof();
@@ -278,8 +281,9 @@
       return;
     }
   }
-  pool->Complete(it, {SendOutcome::kBroken, {}, it->was_used, has_begun},
-                 false);
+  pool->Complete(
+      it, {SendOutcome::kBroken, {}, it->was_used, has_begun, was_silent},
+      false);
 }
 
 void UpstreamPool::Complete(Connection* it, const SendResult& result,
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -38,6 +38,7 @@
   ReceivedMessage response;
   bool was_reused = false;  // the connection had served an earlier request
   bool has_response_begun = false;
+  bool was_silent = false;  // the host did not acknowledge what was sent
 };
 
 // Pool of connections to instances, each with one request at a time and kept
