Do not send a blocked or suspected request to further instances

Cause: only arriving requests were checked. Retries now stop at a blocked request, hedges at a suspected one. "Request, blocked while it runs, is not sent again" got 200 from a second instance before, and passes.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -18,6 +18,13 @@
   });
 }
 
+bool CrashWatch::IsSuspect(const Digest& fingerprint, TimePoint now) const {
+  return guard_.IsSuspect(fingerprint, now) ||
+         std::any_of(broken_.begin(), broken_.end(), [&](const auto& it) {
+           return !it.second.is_settled && it.second.Contains(fingerprint);
+         });
+}
+
 void CrashWatch::OnRunEnded(const std::string& instance,
                             const Digest& fingerprint, bool succeeded,
                             bool connection_lost, TimePoint now) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -55,6 +55,8 @@
   bool IsBlocked(const Digest& fingerprint, TimePoint now) const {
     return guard_.IsBlocked(fingerprint, now);
   }
+  // True if the request may have crashed an instance lately.
+  bool IsSuspect(const Digest& fingerprint, TimePoint now) const;
   // `connection_lost` means that the instance ended the connection during the
   // run.
   void OnRunEnded(const std::string& instance, const Digest& fingerprint,
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -318,6 +318,8 @@
   it->hedge_timer.reset();
   const TimePoint now = EventLoop::Now();
   if (it->send_count >= it->route->max_attempts) return;
+  // The first instance may be slow because it is about to crash.
+  if (deps_.crashes->IsSuspect(it->fingerprint, now)) return;
   if (deps_.budget->UsedFraction(it->placement_request.service, now) >
       kMaxHedgeBudgetFraction)
     return;
@@ -479,8 +481,9 @@
     return;
   }
   const TimePoint now = EventLoop::Now();
+  const bool is_blocked = deps_.crashes->IsBlocked(it->fingerprint, now);
   const bool may_retry =
-      (it->route->idempotent || !it->may_have_run) &&
+      !is_blocked && (it->route->idempotent || !it->may_have_run) &&
       it->send_count < std::max(1, it->route->max_attempts) &&
       it->connect_failures < kMaxConnectFailures && now < it->deadline;
   Duration retry_after{};
@@ -501,7 +504,7 @@
     Refuse(it, {503, reason, wait});
     return;
   }
-  Refuse(it, {502, "upstream-failed", {}});
+  Refuse(it, {502, is_blocked ? "suspected-crash" : "upstream-failed", {}});
 }
 
 void Forwarder::OnDeadline(CallerId caller) {
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -624,6 +624,30 @@
   CheckCrashesTwoInstances(/*with_kept_connections=*/false);
 }
 
+// Guards against sending a request to a second instance after other VMs have
+// reported that it crashes instances.
+TEST_CASE_FIXTURE(CrashingRequestFixture,
+                  "Request, blocked while it runs, is not sent again") {
+  const Digest fingerprint = CrashFingerprint("w", "GET", "/safe/lost", "");
+  ScriptedInstance instance(&loop, [&](const std::string&) {
+    for (const char* id : {"a", "b"}) {
+      wire::CrashSuspicionT suspicion;
+      suspicion.fingerprint = fingerprint;
+      suspicion.upstream = id;
+      crashes.OnMessage(suspicion, EventLoop::Now());
+    }
+    return "CRASH";
+  });
+  AddInstance("first", instance.port);
+  ScriptedInstance second(
+      &loop, [](const std::string& it) { return FullResponse(it); });
+  AddInstance("second", second.port);
+  registry.Find("second")->OnReport(5, 0, EventLoop::Now());
+  CHECK(Send("/safe/lost", "id") == 502);
+  CHECK(instance.requests == 1);
+  CHECK(second.requests == 0);
+}
+
 // Guards against blaming a request whose responses are lost while its instance
 // lives, and against wasting the connections that probe it.
 TEST_CASE_FIXTURE(DataPathFixture,
