Tell the processes of an instance apart when they crash

A request that crashes an instance which starts again under its id, and to which it goes each time, was never stopped: suspicions named the id, and two of one id count once.

--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -37,7 +37,8 @@
 // Distinguishes requests that crash instances from requests whose responses
 // were lost. A connection that breaks during a run counts as a crash only if
 // the instance is seen to have ended soon after: it refuses connections, its
-// entry is removed, or it has restarted.
+// entry is removed, or it has restarted. An instance is named by its process
+// (ProcessName).
 class CrashWatch {
  public:
   // If an instance is seen to have ended within this time after a broken run,
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -54,8 +54,8 @@
 
 Forwarder::Forwarder(ForwarderDependencies deps)
     : deps_(std::move(deps)), prober_(deps_.loop, deps_.pool) {
-  prober_.signal_ended.connect([this](const std::string& instance) {
-    deps_.crashes->OnInstanceEnded(instance, EventLoop::Now());
+  prober_.signal_ended.connect([this](const std::string& process) {
+    deps_.crashes->OnInstanceEnded(process, EventLoop::Now());
   });
 }
 
@@ -397,8 +397,9 @@
       : is_declined       ? AttemptOutcome::kDeclined
                           : outcome;
   if (is_from_instance)
-    deps_.crashes->OnInstanceResponded(attempt.instance, attempt.started_at,
-                                       now);
+    deps_.crashes->OnInstanceResponded(
+        ProcessName(attempt.instance, attempt.instance_started_ms),
+        attempt.started_at, now);
   // A host that has lost its power or its network is silent; one whose process
   // has crashed is not.
   FinishAttempt(*it, attempt, health_outcome,
@@ -544,16 +545,18 @@
                               TimePoint now) {
   InstanceState* state = deps_.registry->Find(attempt.instance);
   if (state != nullptr) state->OnEnded(attempt.id, outcome, now);
-  deps_.crashes->OnRunEnded(attempt.instance, it.fingerprint,
+  const std::string process =
+      ProcessName(attempt.instance, attempt.instance_started_ms);
+  deps_.crashes->OnRunEnded(process, it.fingerprint,
                             outcome == AttemptOutcome::kSucceeded,
                             connection_lost, now);
   if (outcome == AttemptOutcome::kConnectFailed ||
       outcome == AttemptOutcome::kMisdirected)
-    deps_.crashes->OnInstanceEnded(attempt.instance, now);
-  if (connection_lost && state != nullptr) {
-    const InstanceInfo& info = state->info();
-    prober_.Probe({info.id, info.address, info.port});
-  }
+    deps_.crashes->OnInstanceEnded(process, now);
+  if (!connection_lost || state == nullptr) return;
+  const InstanceInfo& info = state->info();
+  if (info.started_ms == attempt.instance_started_ms)
+    prober_.Probe({info.id, info.address, info.port}, process);
 }
 
 void Forwarder::CancelAttempts(Exchange* it) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -427,7 +427,8 @@
     return;
   }
   if (latest.started_ms != 0 && entry.info.started_ms > latest.started_ms)
-    crashes_.OnInstanceEnded(entry.info.id, now);
+    crashes_.OnInstanceEnded(ProcessName(entry.info.id, latest.started_ms),
+                             now);
   latest = {entry.info.started_ms, entry.sequence};
   lapsed_instances_.erase(entry.info.id);
   InstanceState* known = registry_.Find(entry.info.id);
@@ -449,8 +450,9 @@
 void Gateway::RemoveInstance(const std::string& id, const char* reason) {
   if (registry_.Find(id) == nullptr) return;
   log_->State("instance_gone").Text("instance", id).Text("reason", reason);
-  crashes_.OnInstanceEnded(id, EventLoop::Now());
-  if (registry_.Find(id)->info().started_ms == 0) notices_.Forget(id);
+  const int64_t started_ms = registry_.Find(id)->info().started_ms;
+  crashes_.OnInstanceEnded(ProcessName(id, started_ms), EventLoop::Now());
+  if (started_ms == 0) notices_.Forget(id);
   registry_.Remove(id);
   pool_.CloseIdleConnections(id);
   lapsed_instances_.erase(id);
--- a/src/gateway/instance_prober.cc
+++ b/src/gateway/instance_prober.cc
@@ -2,12 +2,13 @@
 
 namespace rwf {
 
-void InstanceProber::Probe(const UpstreamTarget& target) {
-  if (probes_.contains(target.instance)) return;
-  probes_[target.instance] = loop_->After(kDelay, [this, target] {
-    pool_->Probe(target, [this, id = target.instance](bool is_refused) {
-      probes_.erase(id);
-      if (is_refused) signal_ended.emit(id);
+void InstanceProber::Probe(const UpstreamTarget& target,
+                           const std::string& process) {
+  if (probes_.contains(process)) return;
+  probes_[process] = loop_->After(kDelay, [this, target, process] {
+    pool_->Probe(target, [this, process](bool is_refused) {
+      probes_.erase(process);
+      if (is_refused) signal_ended.emit(process);
     });
   });
 }
--- a/src/gateway/instance_prober.h
+++ b/src/gateway/instance_prober.h
@@ -24,16 +24,16 @@
   InstanceProber(const InstanceProber&) = delete;
   InstanceProber& operator=(const InstanceProber&) = delete;
 
-  // Starts a probe, unless one of the instance is in progress.
-  void Probe(const UpstreamTarget& target);
+  // Starts a probe, unless one of the process is in progress.
+  void Probe(const UpstreamTarget& target, const std::string& process);
 
-  // The instance with this id refuses connections.
+  // The process with this name refuses connections.
   sigc::signal<void(const std::string&)> signal_ended;
 
  private:
   EventLoop* loop_;
   UpstreamPool* pool_;
-  std::map<std::string, std::unique_ptr<Timer>> probes_;  // by instance
+  std::map<std::string, std::unique_ptr<Timer>> probes_;  // by process
 };
 
 }  // namespace rwf
--- a/src/traffic/instance_registry.cc
+++ b/src/traffic/instance_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <string>
 
 namespace rwf {
 namespace {
@@ -21,6 +22,10 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
+std::string ProcessName(const std::string& instance, int64_t started_ms) {
+  return instance + "@" + std::to_string(started_ms);
+}
+
 void InstanceState::OnSent(uint64_t attempt, uint64_t object, Duration expected,
                            TimePoint now) {
   attempts_[attempt] = {now, std::max(expected, kMinExpectedLatency), object};
--- a/src/traffic/instance_registry.h
+++ b/src/traffic/instance_registry.h
@@ -140,6 +140,10 @@
   bool is_replaced_ = false;
 };
 
+// Identifies one process of an instance on all VMs. A process may start under
+// the id of an earlier one.
+std::string ProcessName(const std::string& instance, int64_t started_ms);
+
 // Holds the instances of all services and the zones that are evacuated.
 class InstanceRegistry {
  public:
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -182,8 +182,10 @@
     REQUIRE(front.Listen("127.0.0.1", kFrontPort).has_value());
   }
 
-  void AddInstance(const std::string& id, uint16_t port) {
+  void AddInstance(const std::string& id, uint16_t port,
+                   int64_t started_ms = 0) {
     InstanceInfo info;
+    info.started_ms = started_ms;
     info.id = id;
     info.service = "s";
     info.address = "127.0.0.1";
@@ -585,9 +587,9 @@
     // An instance that has ended gets no further requests, which would find it
     // ended.
     for (size_t n = 0; n < instances.size(); ++n) {
-      if (instances[n]->has_crashed())
-        registry.Find("i" + std::to_string(n))
-            ->OnReport(60, 0, EventLoop::Now());
+      InstanceState* state = registry.Find("i" + std::to_string(n));
+      if (state != nullptr && instances[n]->has_crashed())
+        state->OnReport(60, 0, EventLoop::Now());
     }
     const auto end =
         loop.After(std::chrono::milliseconds(500), [this] { loop.Stop(); });
@@ -624,6 +626,19 @@
   CheckCrashesTwoInstances(/*with_kept_connections=*/false);
 }
 
+// Guards against counting the crashes of one id once: a request goes to the
+// same instance each time that it is back.
+TEST_CASE_FIXTURE(
+    CrashingRequestFixture,
+    "Request, crashes an instance that keeps its id, is stopped") {
+  for (int64_t n = 0; n < 4; ++n) {
+    const size_t process = static_cast<size_t>(n);
+    AddInstance("i", instances[process]->port, 1000 + n);
+    CHECK(Send("/once/crash", "id" + std::to_string(n)) == 502);
+  }
+  CHECK(CrashedInstances() == 2);
+}
+
 // Guards against sending a request to a second instance after other VMs have
 // reported that it crashes instances.
 TEST_CASE_FIXTURE(CrashingRequestFixture,
