Send blocked requests to VMs whose links come up

A VM that was restarted or cut off let a crashing request crash two more instances: suspicions were flooded once and kept nowhere else. A new link now carries the suspicions of what is blocked, with their age, so that a block ends everywhere at once and a success that the other side has missed wins over older crashes. Clearances are kept as long as blocks for that. Cases "Request, blocked before a VM starts, is blocked there" and "Request, succeeds while a VM is cut off, is cleared there"; the functions that they call are new.

--- a/src/entry/node.cc
+++ b/src/entry/node.cc
@@ -295,6 +295,9 @@
   ledger_.OnPeerAccepted(vm, now);
   claim_client_.OnReachable(vm, now);
   FlushClaims();
+  // The peer may have been restarted or cut off.
+  for (const wire::CrashSuspicionT& it : crash_guard_.BlockedSuspicions(now))
+    Send(vm, it);
   HandleMemberEvents(now);
 }
 
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -126,9 +126,12 @@
 void CrashWatch::OnMessage(const wire::CrashSuspicionT& message,
                            TimePoint now) {
   const bool is_new = guard_.OnMessage(message, now);
-  if (!is_new || message.cleared ||
-      !succeeded_at_.contains(message.fingerprint))
-    return;
+  if (message.cleared) return;
+  // A sender that has had a link all the time knows of the success.
+  const auto clearance = guard_.Clearance(message.fingerprint, now);
+  if (!is_new && clearance && message.age_ms > clearance->age_ms)
+    Publish({*clearance});
+  if (!is_new || !succeeded_at_.contains(message.fingerprint)) return;
   Publish(guard_.OnFinished(message.upstream, message.fingerprint, true, now));
 }
 
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -69,6 +69,11 @@
   void OnInstanceEnded(const std::string& instance, TimePoint now);
   // Handles a suspicion reported by another VM.
   void OnMessage(const wire::CrashSuspicionT& message, TimePoint now);
+  // Returns the messages for a VM whose link has come up: it may have been
+  // restarted or cut off.
+  std::vector<wire::CrashSuspicionT> MessagesForNewLink(TimePoint now) const {
+    return guard_.BlockedSuspicions(now);
+  }
   // Settles broken runs for which the time has come.
   void Tick(TimePoint now);
 
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -136,6 +136,7 @@
     // peers get it with a full report next.
     reports_since_full_ = kReportsPerFullReport;
     log_->State("peer_up").Text("peer", vm);
+    signal_peer_up.emit(vm);
   });
   links_->signal_down.connect([this](const std::string& vm, bool refused) {
     const auto it = peers_.find(vm);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -102,6 +102,7 @@
   sigc::signal<void(const std::string& vm, const wire::ChangesReplyT&)>
       signal_changes_reply;
   sigc::signal<void(const wire::CrashSuspicionT&)> signal_crash_suspicion;
+  sigc::signal<void(const std::string& vm)> signal_peer_up;
   sigc::signal<void(const std::string& vm, const SharedNotice&)>
       signal_instance_notice;
   sigc::signal<void(const std::string& vm, const wire::LimitClaimsT&)>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -182,6 +182,14 @@
     message.body.Set(wire::CrashSuspicionT(it));
     fleet_.SendToAll(message);
   });
+  fleet_.signal_peer_up.connect([this](const std::string& vm) {
+    for (const wire::CrashSuspicionT& it :
+         crashes_.MessagesForNewLink(EventLoop::Now())) {
+      wire::BodyUnion body;
+      body.Set(wire::CrashSuspicionT(it));
+      fleet_.Send(vm, std::move(body));
+    }
+  });
   fleet_.signal_crash_suspicion.connect(
       [this](const wire::CrashSuspicionT& it) {
         crashes_.OnMessage(it, EventLoop::Now());
--- a/src/once/crash_guard.cc
+++ b/src/once/crash_guard.cc
@@ -9,11 +9,14 @@
 namespace {
 
 wire::CrashSuspicionT MakeSuspicion(const Digest& fingerprint,
-                                    const std::string& upstream, bool cleared) {
+                                    const std::string& upstream, bool cleared,
+                                    Duration age) {
   wire::CrashSuspicionT message;
   message.fingerprint = fingerprint;
   message.upstream = upstream;
   message.cleared = cleared;
+  message.age_ms =
+      static_cast<uint32_t>(std::clamp<int64_t>(ToMillis(age), 0, UINT32_MAX));
   return message;
 }
 
@@ -44,8 +47,8 @@
     if (all.empty()) in_flight_.erase(found);
   }
   if (!success || FindActive(fingerprint, now) == nullptr) return {};
-  Clear(fingerprint, now);
-  return {MakeSuspicion(fingerprint, upstream, true)};
+  Clear(fingerprint, now, now);
+  return {MakeSuspicion(fingerprint, upstream, true, Duration::zero())};
 }
 
 std::vector<wire::CrashSuspicionT> CrashGuard::OnCrash(
@@ -56,17 +59,19 @@
   in_flight_.erase(found);
   std::vector<wire::CrashSuspicionT> out;
   for (const Digest& fingerprint : all) {
-    if (!AddSuspicion(fingerprint, upstream, now)) continue;
-    out.push_back(MakeSuspicion(fingerprint, upstream, false));
+    if (!AddSuspicion(fingerprint, upstream, now, now)) continue;
+    out.push_back(
+        MakeSuspicion(fingerprint, upstream, false, Duration::zero()));
   }
   return out;
 }
 
 bool CrashGuard::OnMessage(const wire::CrashSuspicionT& message,
                            TimePoint now) {
+  const TimePoint at = now - std::chrono::milliseconds(message.age_ms);
   return message.cleared
-             ? Clear(message.fingerprint, now)
-             : AddSuspicion(message.fingerprint, message.upstream, now);
+             ? Clear(message.fingerprint, at, now)
+             : AddSuspicion(message.fingerprint, message.upstream, at, now);
 }
 
 const CrashGuard::Suspicion* CrashGuard::FindActive(const Digest& fingerprint,
@@ -100,6 +105,26 @@
       });
 }
 
+std::vector<wire::CrashSuspicionT> CrashGuard::BlockedSuspicions(
+    TimePoint now) const {
+  std::vector<wire::CrashSuspicionT> out;
+  for (const auto& [fingerprint, it] : suspicions_) {
+    if (!IsBlocked(fingerprint, now)) continue;
+    for (const std::string& upstream : it.upstreams) {
+      out.push_back(
+          MakeSuspicion(fingerprint, upstream, false, now - it.last_crash_at));
+    }
+  }
+  return out;
+}
+
+std::optional<wire::CrashSuspicionT> CrashGuard::Clearance(
+    const Digest& fingerprint, TimePoint now) const {
+  const auto it = suspicions_.find(fingerprint);
+  if (it == suspicions_.end() || !it->second.cleared) return std::nullopt;
+  return MakeSuspicion(fingerprint, "", true, now - it->second.cleared_at);
+}
+
 bool CrashGuard::IsSuspect(const Digest& fingerprint, TimePoint now) const {
   return FindActive(fingerprint, now) != nullptr;
 }
@@ -117,14 +142,17 @@
 
 // Returns true if the suspicion was new.
 bool CrashGuard::AddSuspicion(const Digest& fingerprint,
-                              const std::string& upstream, TimePoint now) {
+                              const std::string& upstream, TimePoint crashed_at,
+                              TimePoint now) {
+  if (now >= crashed_at + kBlockDuration) return false;
   auto it = suspicions_.find(fingerprint);
   if (it == suspicions_.end()) {
     EvictIfFull(now);
     it = suspicions_.emplace(fingerprint, Suspicion{}).first;
   }
   Suspicion& suspicion = it->second;
-  if (suspicion.cleared && now - suspicion.cleared_at < kClearedRetention) {
+  if (suspicion.cleared &&
+      crashed_at - suspicion.cleared_at < kClearedRetention) {
     return false;
   }
   if (suspicion.cleared || now >= suspicion.until) suspicion = Suspicion{};
@@ -135,25 +163,32 @@
     return false;
   }
   upstreams.push_back(upstream);
-  suspicion.until = now + kBlockDuration;
+  suspicion.last_crash_at = std::max(suspicion.last_crash_at, crashed_at);
+  suspicion.until = suspicion.last_crash_at + kBlockDuration;
   return true;
 }
 
-// Returns false if the fingerprint was already cleared recently.
-bool CrashGuard::Clear(const Digest& fingerprint, TimePoint now) {
+// Returns false if the fingerprint was already cleared recently, or if a crash
+// followed.
+bool CrashGuard::Clear(const Digest& fingerprint, TimePoint cleared_at,
+                       TimePoint now) {
+  if (now >= cleared_at + kBlockDuration) return false;
   auto it = suspicions_.find(fingerprint);
   if (it == suspicions_.end()) {
     EvictIfFull(now);
     it = suspicions_.emplace(fingerprint, Suspicion{}).first;
   }
   Suspicion& suspicion = it->second;
-  if (suspicion.cleared && now - suspicion.cleared_at < kClearedRetention) {
+  if (suspicion.cleared &&
+      cleared_at - suspicion.cleared_at < kClearedRetention) {
     return false;
   }
+  if (!suspicion.cleared && cleared_at < suspicion.last_crash_at) return false;
   suspicion = Suspicion{};
   suspicion.cleared = true;
-  suspicion.cleared_at = now;
-  suspicion.until = now + kClearedRetention;
+  suspicion.cleared_at = cleared_at;
+  // Peers that missed the success may report the crashes before it until then.
+  suspicion.until = cleared_at + kBlockDuration;
   return true;
 }
 
--- a/src/once/crash_guard.h
+++ b/src/once/crash_guard.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,9 +30,9 @@
   // crash identifies the cause.
   static constexpr size_t kInstancesToBlockIfAmbiguous = 3;
   static constexpr Duration kBlockDuration = std::chrono::seconds(600);
-  // A suspicion that arrives this soon after the fingerprint was cleared is
-  // taken to be older than the success, because flooded messages can overtake
-  // each other.
+  // A suspicion of a crash that happened this soon after the fingerprint was
+  // cleared is taken to be older than the success, because flooded messages can
+  // overtake each other.
   static constexpr Duration kClearedRetention = std::chrono::seconds(3);
   static constexpr size_t kMaxFingerprints = 10'000;
 
@@ -51,6 +52,14 @@
   // forwarded.
   bool OnMessage(const wire::CrashSuspicionT& message, TimePoint now);
 
+  // Returns the suspicions of the blocked fingerprints, for a peer that may
+  // have missed them.
+  std::vector<wire::CrashSuspicionT> BlockedSuspicions(TimePoint now) const;
+  // Returns the message that clears the fingerprint if it was cleared and no
+  // crash followed.
+  std::optional<wire::CrashSuspicionT> Clearance(const Digest& fingerprint,
+                                                 TimePoint now) const;
+
   // True if the request must be refused as suspected-crash.
   bool IsBlocked(const Digest& fingerprint, TimePoint now) const;
   // True if the fingerprint was in flight at a crash and has not been cleared
@@ -69,14 +78,15 @@
   struct Suspicion {
     // Distinct ids, at most kInstancesToBlockIfAmbiguous.
     std::vector<std::string> upstreams;
+    TimePoint last_crash_at{};
     TimePoint until{};
     TimePoint cleared_at{};
     bool cleared = false;
   };
 
   bool AddSuspicion(const Digest& fingerprint, const std::string& upstream,
-                    TimePoint now);
-  bool Clear(const Digest& fingerprint, TimePoint now);
+                    TimePoint crashed_at, TimePoint now);
+  bool Clear(const Digest& fingerprint, TimePoint cleared_at, TimePoint now);
   void EvictIfFull(TimePoint now);
   const Suspicion* FindActive(const Digest& fingerprint, TimePoint now) const;
 
--- a/tests/gateway/crash_watch_test.cc
+++ b/tests/gateway/crash_watch_test.cc
@@ -83,6 +83,55 @@
   for (size_t vm = 0; vm < 3; ++vm) CHECK(Vm(vm).IsBlocked(poison, now));
 }
 
+// Guards against letting a request crash two more instances through each VM
+// that has been restarted or cut off.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, blocked before a VM starts, is blocked there") {
+  BreakRun(0, "i1", poison, true);
+  BreakRun(1, "i2", poison, true);
+  now += std::chrono::minutes(5);
+  for (CrashWatch& it : watches) it.Tick(now);
+  CrashWatch started;
+  for (const wire::CrashSuspicionT& it : Vm(0).MessagesForNewLink(now))
+    started.OnMessage(it, now);
+  CHECK(started.IsBlocked(poison, now));
+  // It does not last longer there.
+  now += std::chrono::minutes(5);
+  CHECK_FALSE(started.IsBlocked(poison, now));
+}
+
+// Guards against blocking a request again, because a VM was cut off when it
+// succeeded, and against keeping it blocked there.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "Request, succeeds while a VM is cut off, is cleared there") {
+  BreakRun(0, "i1", poison, true);
+  BreakRun(1, "i2", poison, true);
+  REQUIRE(IsBlocked());
+  now += std::chrono::seconds(10);
+  CrashWatch cut_off;
+  std::vector<wire::CrashSuspicionT> replies;
+  cut_off.signal_suspicion.connect(
+      [&](const wire::CrashSuspicionT& it) { replies.push_back(it); });
+  for (const wire::CrashSuspicionT& it : Vm(0).MessagesForNewLink(now))
+    cut_off.OnMessage(it, now);
+  cut_off.OnRunEnded("i3", poison, true, false, now);
+  REQUIRE(replies.size() == 1);
+  replies.clear();
+  now += std::chrono::seconds(60);
+  for (const wire::CrashSuspicionT& it : Vm(0).MessagesForNewLink(now))
+    cut_off.OnMessage(it, now);
+  CHECK_FALSE(cut_off.IsBlocked(poison, now));
+  REQUIRE(!replies.empty());
+  Vm(0).OnMessage(replies[0], now);
+  CHECK_FALSE(Vm(0).IsBlocked(poison, now));
+  // A crash after the success counts.
+  BreakRun(0, "i4", poison, true);
+  BreakRun(0, "i5", poison, true);
+  CHECK(Vm(0).IsBlocked(poison, now));
+  for (const wire::CrashSuspicionT& it : replies) Vm(0).OnMessage(it, now);
+  CHECK(Vm(0).IsBlocked(poison, now));
+}
+
 // Guards against blaming requests for lost responses, or for instances that end
 // later for other reasons.
 TEST_CASE_FIXTURE(
