Play crashing requests in fleets, and let crashes be explained

A fleet on virtual time (3 to 118 VMs, harmless requests beside crashing ones, instances killed a third at a time, VMs restarted) showed two faults. A request whose burst met a kill within half a second was excused and ran once more at four instances; and harmless requests that shared instances with a crashing one were refused, up to 99 of 2,321. A run that was sent after the same request had ended an instance now counts in any case, reports of other VMs count as explanations, and a request is not blocked for crashes of which another one has more. Successes count for 10 s instead of 3.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -12,27 +12,31 @@
   return kNames[static_cast<size_t>(verdict)];
 }
 
-bool CrashWatch::BrokenRuns::Contains(const Digest& fingerprint) const {
-  return std::any_of(runs.begin(), runs.end(), [&](const BrokenRun& run) {
-    return run.fingerprint == fingerprint;
-  });
+const CrashWatch::BrokenRun* CrashWatch::BrokenRuns::Find(
+    const Digest& fingerprint) const {
+  const auto it = std::find_if(
+      runs.begin(), runs.end(),
+      [&](const BrokenRun& run) { return run.fingerprint == fingerprint; });
+  return it == runs.end() ? nullptr : &*it;
 }
 
 bool CrashWatch::IsSuspect(const Digest& fingerprint, TimePoint now) const {
   return guard_.IsSuspect(fingerprint, now) ||
          std::any_of(broken_.begin(), broken_.end(), [&](const auto& it) {
-           return !it.second.is_settled && it.second.Contains(fingerprint);
+           return !it.second.is_settled &&
+                  it.second.Find(fingerprint) != nullptr;
          });
 }
 
 void CrashWatch::OnRunEnded(const std::string& instance,
-                            const Digest& fingerprint, bool succeeded,
-                            bool connection_lost, TimePoint now) {
+                            const Digest& fingerprint, TimePoint sent_at,
+                            bool succeeded, bool connection_lost,
+                            TimePoint now) {
   if (connection_lost) {
     BrokenRuns& broken = broken_[instance];
     // The instance goes on, or another has its id.
     if (broken.is_settled) broken = {};
-    broken.runs.push_back({fingerprint, now});
+    broken.runs.push_back({fingerprint, sent_at, now});
     return;
   }
   if (!succeeded) return;
@@ -58,12 +62,11 @@
   SettleIfDue(instance, &it->second, now);
 }
 
-std::vector<const CrashWatch::BrokenRuns*> CrashWatch::BrokenAt(
-    TimePoint at, bool only_ended) const {
-  std::vector<const BrokenRuns*> out;
-  for (const auto& [instance, it] : broken_) {
-    if (only_ended && !it.has_ended) continue;
-    const TimePoint last_at = it.last_at();
+CrashWatch::Ends CrashWatch::BrokenAt(TimePoint at, bool only_ended) const {
+  Ends out;
+  for (const auto& it : broken_) {
+    if (only_ended && !it.second.has_ended) continue;
+    const TimePoint last_at = it.second.last_at();
     if (at - last_at < kMassCrashWindow && last_at - at < kMassCrashWindow)
       out.push_back(&it);
   }
@@ -78,35 +81,50 @@
       BrokenAt(at, /*only_ended=*/false).size() >= kMinMassCrashInstances)
     return;
   broken->is_settled = true;
-  const std::vector<const BrokenRuns*> ended = BrokenAt(at, true);
-  for (const BrokenRun& run : broken->runs)
-    Settle(instance, run, Judge(run.fingerprint, ended), ended.size(), now);
+  const Ends ended = BrokenAt(at, /*only_ended=*/true);
+  for (const BrokenRun& run : broken->runs) {
+    Settle(instance, run, Judge(run.fingerprint, ended, now), ended.size(),
+           now);
+  }
   // The suspicion counts for all suspects of the instance at once.
   Publish(guard_.OnCrash(instance, now));
 }
 
-bool CrashWatch::IsCandidate(
-    const Digest& fingerprint,
-    const std::vector<const BrokenRuns*>& ended) const {
+bool CrashWatch::IsCandidate(const Digest& fingerprint,
+                             const Ends& ended) const {
   if (succeeded_at_.contains(fingerprint)) return false;
-  const auto n = std::count_if(
-      ended.begin(), ended.end(),
-      [&](const BrokenRuns* it) { return it->Contains(fingerprint); });
+  const auto n = std::count_if(ended.begin(), ended.end(), [&](const auto* it) {
+    return it->second.Find(fingerprint) != nullptr;
+  });
   return n >= 2;
 }
 
-BrokenRunVerdict CrashWatch::Judge(
-    const Digest& fingerprint,
-    const std::vector<const BrokenRuns*>& ended) const {
+bool CrashWatch::HasEndedInTurn(const Digest& fingerprint,
+                                const Ends& ended) const {
+  TimePoint first_at = TimePoint::max();
+  TimePoint last_sent_at = TimePoint::min();
+  for (const auto* it : ended) {
+    const BrokenRun* run = it->second.Find(fingerprint);
+    if (run == nullptr) continue;
+    first_at = std::min(first_at, run->at);
+    last_sent_at = std::max(last_sent_at, run->sent_at);
+  }
+  return last_sent_at > first_at;
+}
+
+BrokenRunVerdict CrashWatch::Judge(const Digest& fingerprint, const Ends& ended,
+                                   TimePoint now) const {
   if (succeeded_at_.contains(fingerprint)) return BrokenRunVerdict::kSucceeded;
-  if (ended.size() < kMinMassCrashInstances)
+  if (ended.size() < kMinMassCrashInstances ||
+      HasEndedInTurn(fingerprint, ended))
     return BrokenRunVerdict::kSuspected;
   const auto explained =
-      std::count_if(ended.begin(), ended.end(), [&](const BrokenRuns* it) {
-        return std::any_of(it->runs.begin(), it->runs.end(),
-                           [&](const BrokenRun& run) {
-                             return IsCandidate(run.fingerprint, ended);
-                           });
+      std::count_if(ended.begin(), ended.end(), [&](const auto* it) {
+        const std::vector<BrokenRun>& runs = it->second.runs;
+        return guard_.IsCrashExplained(it->first, now) ||
+               std::any_of(runs.begin(), runs.end(), [&](const BrokenRun& run) {
+                 return IsCandidate(run.fingerprint, ended);
+               });
       });
   const bool is_explained = static_cast<size_t>(explained) * 2 > ended.size();
   return is_explained && IsCandidate(fingerprint, ended)
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -51,7 +51,7 @@
   static constexpr size_t kMinMassCrashInstances = 4;
   static constexpr Duration kMassCrashWindow = std::chrono::milliseconds(500);
   // A request that succeeded this recently is not the cause of a crash.
-  static constexpr Duration kSuccessRetention = std::chrono::seconds(3);
+  static constexpr Duration kSuccessRetention = std::chrono::seconds(10);
 
   bool IsBlocked(const Digest& fingerprint, TimePoint now) const {
     return guard_.IsBlocked(fingerprint, now);
@@ -61,7 +61,8 @@
   // `connection_lost` means that the instance ended the connection during the
   // run.
   void OnRunEnded(const std::string& instance, const Digest& fingerprint,
-                  bool succeeded, bool connection_lost, TimePoint now);
+                  TimePoint sent_at, bool succeeded, bool connection_lost,
+                  TimePoint now);
   // The instance responded to a request that was sent at `sent_at`.
   void OnInstanceResponded(const std::string& instance, TimePoint sent_at,
                            TimePoint now);
@@ -85,6 +86,7 @@
  private:
   struct BrokenRun {
     Digest fingerprint{};
+    TimePoint sent_at{};
     TimePoint at{};
   };
   // Runs of one instance that broke, oldest first.
@@ -93,20 +95,23 @@
     bool has_ended = false;
     bool is_settled = false;
     TimePoint last_at() const { return runs.back().at; }
-    bool Contains(const Digest& fingerprint) const;
+    const BrokenRun* Find(const Digest& fingerprint) const;
   };
   using BrokenRunsMap = std::map<std::string, BrokenRuns>;  // by instance
+  using Ends = std::vector<const BrokenRunsMap::value_type*>;
 
   // Returns the instances whose connections broke at about the same time.
-  std::vector<const BrokenRuns*> BrokenAt(TimePoint at, bool only_ended) const;
+  Ends BrokenAt(TimePoint at, bool only_ended) const;
   void SettleIfDue(const std::string& instance, BrokenRuns* broken,
                    TimePoint now);
-  BrokenRunVerdict Judge(const Digest& fingerprint,
-                         const std::vector<const BrokenRuns*>& ended) const;
+  BrokenRunVerdict Judge(const Digest& fingerprint, const Ends& ended,
+                         TimePoint now) const;
   // True if several of the instances ran the request, so that it may have ended
   // them.
-  bool IsCandidate(const Digest& fingerprint,
-                   const std::vector<const BrokenRuns*>& ended) const;
+  bool IsCandidate(const Digest& fingerprint, const Ends& ended) const;
+  // True if an instance ended under the request after another one had: a common
+  // cause would have ended both before the second run.
+  bool HasEndedInTurn(const Digest& fingerprint, const Ends& ended) const;
   void Settle(const std::string& instance, const BrokenRun& run,
               BrokenRunVerdict verdict, size_t at_once, TimePoint now);
   void Publish(const std::vector<wire::CrashSuspicionT>& messages) const;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -547,7 +547,7 @@
   if (state != nullptr) state->OnEnded(attempt.id, outcome, now);
   const std::string process =
       ProcessName(attempt.instance, attempt.instance_started_ms);
-  deps_.crashes->OnRunEnded(process, it.fingerprint,
+  deps_.crashes->OnRunEnded(process, it.fingerprint, attempt.started_at,
                             outcome == AttemptOutcome::kSucceeded,
                             connection_lost, now);
   if (outcome == AttemptOutcome::kConnectFailed ||
--- a/src/once/crash_guard.cc
+++ b/src/once/crash_guard.cc
@@ -89,16 +89,18 @@
   if (suspicion == nullptr) return false;
   const std::vector<std::string>& upstreams = suspicion->upstreams;
   if (upstreams.size() < kInstancesToBlock) return false;
-  if (upstreams.size() >= kInstancesToBlockIfAmbiguous) return true;
   return std::none_of(
       suspicions_.begin(), suspicions_.end(), [&](const auto& other) {
-        if (other.first == fingerprint || other.second.cleared ||
-            now >= other.second.until) {
+        const std::vector<std::string>& its = other.second.upstreams;
+        const bool may_explain =
+            its.size() > upstreams.size() ||
+            (its.size() == upstreams.size() &&
+             upstreams.size() < kInstancesToBlockIfAmbiguous);
+        if (!may_explain || other.first == fingerprint ||
+            other.second.cleared || now >= other.second.until)
           return false;
-        }
         return std::all_of(upstreams.begin(), upstreams.end(),
                            [&](const std::string& upstream) {
-                             const auto& its = other.second.upstreams;
                              return std::find(its.begin(), its.end(),
                                               upstream) != its.end();
                            });
@@ -129,6 +131,16 @@
   return FindActive(fingerprint, now) != nullptr;
 }
 
+bool CrashGuard::IsCrashExplained(const std::string& upstream,
+                                  TimePoint now) const {
+  return std::any_of(
+      suspicions_.begin(), suspicions_.end(), [&](const auto& it) {
+        const std::vector<std::string>& its = it.second.upstreams;
+        return !it.second.cleared && now < it.second.until && its.size() >= 2 &&
+               std::find(its.begin(), its.end(), upstream) != its.end();
+      });
+}
+
 bool CrashGuard::MaySend(const std::string& upstream, const Digest& fingerprint,
                          TimePoint now) const {
   if (!IsSuspect(fingerprint, now)) return true;
@@ -157,7 +169,7 @@
   }
   if (suspicion.cleared || now >= suspicion.until) suspicion = Suspicion{};
   std::vector<std::string>& upstreams = suspicion.upstreams;
-  if (upstreams.size() >= kInstancesToBlockIfAmbiguous ||
+  if (upstreams.size() >= kMaxInstances ||
       std::find(upstreams.begin(), upstreams.end(), upstream) !=
           upstreams.end()) {
     return false;
--- a/src/once/crash_guard.h
+++ b/src/once/crash_guard.h
@@ -20,8 +20,9 @@
 
 // Stops requests that crash the upstreams that run them. A fingerprint that was
 // in flight at the crashes of two distinct instances is blocked for
-// kBlockDuration, or of three if another fingerprint was in flight at the same
-// two. A successful response clears it.
+// kBlockDuration, unless another fingerprint explains these crashes: it was in
+// flight at all of them and at further ones. If it was in flight at just the
+// same ones, three are needed. A successful response clears a fingerprint.
 class CrashGuard {
  public:
   static constexpr size_t kInstancesToBlock = 2;
@@ -29,6 +30,8 @@
   // harmless. Both may run again, separately from other suspects, until a third
   // crash identifies the cause.
   static constexpr size_t kInstancesToBlockIfAmbiguous = 3;
+  // Crashed instances that are remembered for each fingerprint.
+  static constexpr size_t kMaxInstances = 32;
   static constexpr Duration kBlockDuration = std::chrono::seconds(600);
   // A suspicion of a crash that happened this soon after the fingerprint was
   // cleared is taken to be older than the success, because flooded messages can
@@ -65,6 +68,9 @@
   // True if the fingerprint was in flight at a crash and has not been cleared
   // since.
   bool IsSuspect(const Digest& fingerprint, TimePoint now) const;
+  // True if a fingerprint that was in flight at several crashes was so at that
+  // of this upstream.
+  bool IsCrashExplained(const std::string& upstream, TimePoint now) const;
   // False if the request is suspect and another suspect is in flight at the
   // upstream: a crash of an instance that runs two suspects would count against
   // the harmless one a second time.
@@ -76,7 +82,7 @@
 
  private:
   struct Suspicion {
-    // Distinct ids, at most kInstancesToBlockIfAmbiguous.
+    // Distinct ids, at most kMaxInstances.
     std::vector<std::string> upstreams;
     TimePoint last_crash_at{};
     TimePoint until{};
--- a/tests/gateway/crash_watch_test.cc
+++ b/tests/gateway/crash_watch_test.cc
@@ -33,14 +33,15 @@
   // `instance_ends`.
   void BreakRun(size_t vm, const std::string& instance,
                 const Digest& fingerprint, bool instance_ends) {
+    const TimePoint sent_at = now;
     now += 20 * kMillisecond;
-    Vm(vm).OnRunEnded(instance, fingerprint, false, true, now);
+    Vm(vm).OnRunEnded(instance, fingerprint, sent_at, false, true, now);
     now += 20 * kMillisecond;
     if (instance_ends) Vm(vm).OnInstanceEnded(instance, now);
   }
   void Succeed(size_t vm, const std::string& instance,
                const Digest& fingerprint) {
-    Vm(vm).OnRunEnded(instance, fingerprint, true, false, now);
+    Vm(vm).OnRunEnded(instance, fingerprint, now, true, false, now);
   }
   bool IsBlocked() { return Vm(2).IsBlocked(poison, now); }
 
@@ -69,9 +70,11 @@
 TEST_CASE_FIXTURE(
     CrashWatchFixture,
     "Request, copies crash four instances within half a second, is blocked") {
+  const TimePoint started_at = now;
   for (int n = 0; n < 4; ++n) {
     now += 40 * kMillisecond;
-    Vm(0).OnRunEnded("i" + std::to_string(n), poison, false, true, now);
+    Vm(0).OnRunEnded("i" + std::to_string(n), poison, started_at, false, true,
+                     now);
   }
   now += 50 * kMillisecond;
   for (int n = 0; n < 4; ++n)
@@ -114,7 +117,7 @@
       [&](const wire::CrashSuspicionT& it) { replies.push_back(it); });
   for (const wire::CrashSuspicionT& it : Vm(0).MessagesForNewLink(now))
     cut_off.OnMessage(it, now);
-  cut_off.OnRunEnded("i3", poison, true, false, now);
+  cut_off.OnRunEnded("i3", poison, now, true, false, now);
   REQUIRE(replies.size() == 1);
   replies.clear();
   now += std::chrono::seconds(60);
@@ -164,7 +167,8 @@
       ids.push_back("i" + std::to_string(next_id++));
       for (const Digest& it : requests(n)) {
         all.push_back(it);
-        Vm(0).OnRunEnded(ids.back(), it, false, /*connection_lost=*/!is_silent,
+        Vm(0).OnRunEnded(ids.back(), it, now - 200 * kMillisecond, false,
+                         /*connection_lost=*/!is_silent,
                          now + n * kMillisecond);
       }
     }
@@ -244,6 +248,23 @@
   }
 }
 
+// Guards against excusing a crashing request whose run and retry end instances
+// just when others are killed.
+TEST_CASE_FIXTURE(ZoneLossFixture,
+                  "Request, crashes two in turn among many, is blocked") {
+  const TimePoint sent_at = now - 10 * kMillisecond;
+  Vm(0).OnRunEnded("x", poison, sent_at, false, true, now + kMillisecond);
+  Vm(0).OnRunEnded("y", poison, now + 3 * kMillisecond, false, true,
+                   now + 40 * kMillisecond);
+  for (const char* id : {"x", "y"}) {
+    const auto end_at = now + 90 * kMillisecond;
+    Vm(0).OnInstanceEnded(id, end_at);
+  }
+  EndZone([&](int) { return std::vector<Digest>{Unique(), Unique()}; }, false);
+  CheckNoneBlocked();
+  CHECK(IsBlocked());
+}
+
 // Guards against blaming a request of an instance that goes on and ends later.
 TEST_CASE_FIXTURE(
     CrashWatchFixture,
--- a/tests/once/crash_guard_test.cc
+++ b/tests/once/crash_guard_test.cc
@@ -71,6 +71,21 @@
   CHECK_FALSE(guard.IsBlocked(kHarmless, now));
 }
 
+// Guards against blocking a frequent request that shared instances with one
+// that crashed them and others.
+TEST_CASE_FIXTURE(Fixture,
+                  "CrashGuard, crashes explained by another fingerprint, do "
+                  "not block") {
+  Crash("u1", {kPoison, kHarmless});
+  Crash("u2", {kPoison, kHarmless});
+  Crash("u3", {kPoison});
+  Crash("u4", {kPoison, kHarmless});
+  CHECK(guard.IsBlocked(kPoison, now));
+  CHECK_FALSE(guard.IsBlocked(kHarmless, now));
+  Crash("u5", {kHarmless});
+  CHECK(guard.IsBlocked(kHarmless, now));
+}
+
 TEST_CASE(
     "CrashGuard, poison among harmless requests on 7 VMs, few crashes and no "
     "harmless request blocked") {
