Bound the head of responses that redwingferryd reads

An instance that sends a head without end made redwingferryd keep all of it until the request's deadline (a report of another operator). Cause: evhttp connections have no bound of the head unless one is set; bodies had one.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -62,11 +62,13 @@
 
 class HttpClient::Connection {
  public:
-  Connection(event_base* base, HttpTarget target, int64_t max_response_bytes)
+  Connection(event_base* base, HttpTarget target,
+             const HttpClientLimits& limits)
       : target_(std::move(target)),
         raw_(evhttp_connection_base_new(base, nullptr, target_.address.c_str(),
                                         target_.port)) {
-    evhttp_connection_set_max_body_size(raw_, max_response_bytes);
+    evhttp_connection_set_max_headers_size(raw_, limits.max_head_bytes);
+    evhttp_connection_set_max_body_size(raw_, limits.max_response_bytes);
     evhttp_connection_set_retries(raw_, 0);
     output_ = bufferevent_get_output(evhttp_connection_get_bufferevent(raw_));
     evbuffer_add_cb(output_, &Connection::CountSent, this);
@@ -220,8 +222,7 @@
     it->ResetSent();
     return it;
   }
-  return std::make_unique<Connection>(loop_->base(), target,
-                                      limits_.max_response_bytes);
+  return std::make_unique<Connection>(loop_->base(), target, limits_);
 }
 
 void HttpClient::ReturnConnection(std::unique_ptr<Connection> connection) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -33,7 +33,8 @@
 };
 
 struct HttpClientLimits {
-  int64_t max_response_bytes = 8 << 20;
+  int64_t max_response_bytes = 8 << 20;  // of the body
+  int64_t max_head_bytes = 64 << 10;
   size_t max_idle_per_target = 64;
   Duration idle_timeout = std::chrono::seconds(10);
 };
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -347,6 +347,29 @@
          return "HTTP/1.1 200 X\r\nA: " + std::string(200'000, 'x');
        },
        200, 502, false},
+      {"fields without end",
+       [](const std::string&) {
+         std::string out = "HTTP/1.1 200 X\r\n";
+         for (int n = 0; n < 40'000; ++n) out += "A: b\r\n";
+         return out;
+       },
+       200, 502, false},
+      {"status line without end",
+       [](const std::string&) {
+         return "HTTP/1.1 200 " + std::string(200'000, 'x');
+       },
+       200, 502, false},
+      {"line ends without end",
+       [](const std::string&) { return std::string(200'000, '\n'); }, 200, 502,
+       false},
+      {"chunk extension without end",
+       [](const std::string& it) {
+         return "HTTP/1.1 200 X\r\nX-Request-Id: " + RequestIdOf(it) +
+                "\r\nX-Server-Stamp: s\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n5;" +
+                std::string(200'000, 'x');
+       },
+       200, 502, false},
       {"interim responses without end",
        [](const std::string&) {
          std::string out;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -99,6 +99,29 @@
   }
 }
 
+// Guards against keeping all that a faulty instance sends without end, until
+// the VM has no memory left (reported by operators of similar systems).
+TEST_CASE_FIXTURE(
+    HttpClientFixture,
+    "HttpClient, response without end, is given up at the bound") {
+  const size_t n = HttpClientLimits{}.max_response_bytes + (1 << 20);
+  const std::string unending(n, 'x');
+  std::string fields;
+  while (fields.size() < n) fields += "A: b\r\n";
+  for (const std::string& start :
+       {"HTTP/1.1 200 " + unending, "HTTP/1.1 200 OK\r\nA: " + unending,
+        "HTTP/1.1 200 OK\r\n" + fields, "HTTP/1.1 200 OK\r\n\r\n" + unending,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5000000\r\n" +
+            unending,
+        unending}) {
+    CAPTURE(start.substr(0, 60));
+    RawServer server(&loop, start, /*keeps_open=*/true);
+    const HttpOutcome out = Call(server.port(), "GET", milliseconds(20'000));
+    CHECK((out.ec == NetErrc::kBroken || out.ec == NetErrc::kTooLarge));
+    CHECK(client.connections({"127.0.0.1", server.port()}) == 0);
+  }
+}
+
 TEST_CASE_FIXTURE(
     HttpClientFixture,
     "HttpClient, extra bytes after the response, are not taken for the next") {
