Drop expired broken runs before judging others

CrashWatch::Tick judged ends while entries whose runs had just expired were still in the map, and read before the start of their empty lists: a heap-buffer-overflow that AddressSanitizer reports in "Fleet, crashing requests among others, are stopped alone". Expired runs go first now; gateway_test passes under sanitizers (59 cases, 64 s beside a soak).

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -158,8 +158,7 @@
     return now - it.second > kSuccessRetention;
   });
   for (auto& [instance, it] : broken_) {
-    if (it.has_ended && !it.is_settled) SettleIfDue(instance, &it, now);
-    if (it.is_settled) continue;
+    if (it.has_ended) continue;
     for (const BrokenRun& run : it.runs) {
       if (now - run.at <= kCrashConfirmWindow) continue;
       Settle(instance, run, BrokenRunVerdict::kNotConfirmed, 0, now);
@@ -174,6 +173,9 @@
            (it.second.is_settled &&
             now - it.second.last_at() > kCrashConfirmWindow);
   });
+  for (auto& [instance, it] : broken_) {
+    if (it.has_ended && !it.is_settled) SettleIfDue(instance, &it, now);
+  }
   guard_.OnTick(now);
 }
 
