Hold a message body once, in shared blocks

Blocks of 16 KiB are now shared by all attempts and written by reference, and a length above the limit is refused at the head. CrashFingerprint takes the body in pieces and gives the same digest.

--- a/src/entry/proxy.cc
+++ b/src/entry/proxy.cc
@@ -175,7 +175,7 @@
   if (!ReadDeadline(request) || !Authenticate(request)) return;
   request->fingerprint =
       CrashFingerprint(request->workspace_name, http.method,
-                       http.path + "?" + http.query, http.body);
+                       http.path + "?" + http.query, {http.body});
   if (request->route.idempotent) {
     StartRateAdmission(request);
   } else {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -218,7 +218,7 @@
 bool Forwarder::CheckCrashSuspicion(Exchange* it, TimePoint now) {
   it->fingerprint = CrashFingerprint(
       it->workspace == nullptr ? "" : it->workspace->name, it->request.method,
-      it->request.target, it->request.body);
+      it->request.target, it->request.body.Blocks());
   if (!deps_.crashes->IsBlocked(it->fingerprint, now)) return true;
   // The status must not promise that the request has not run, since earlier
   // attempts of the caller have run.
@@ -267,7 +267,8 @@
   it->placement_request.tried.push_back(info.id);
   ++it->send_count;
   UpstreamPool::Request request;
-  request.bytes = RequestBytes(*it, info.id, it->placement_request.time_left);
+  request.head = RequestHead(*it, info.id, it->placement_request.time_left);
+  request.body = it->request.body;
   request.request_id = it->request_id;
   request.id_header = deps_.header_names->request_id;
   request.is_head = it->request.method == "HEAD";
@@ -284,9 +285,9 @@
   return true;
 }
 
-std::string Forwarder::RequestBytes(const Exchange& it,
-                                    const std::string& instance,
-                                    Duration left) const {
+std::string Forwarder::RequestHead(const Exchange& it,
+                                   const std::string& instance,
+                                   Duration left) const {
   const HeaderNames& header_names = *deps_.header_names;
   HttpHeaders headers = ForwardableHeaders(it.request.headers);
   headers.Remove(header_names.key);
@@ -296,8 +297,8 @@
   headers.Set(header_names.expected_instance, instance);
   if (it.workspace != nullptr)
     headers.Set(header_names.workspace, it.workspace->name);
-  return SerializeRequest(it.request.method, it.request.target, headers,
-                          it.request.body);
+  return SerializeRequestHead(it.request.method, it.request.target, headers,
+                              it.request.body.size());
 }
 
 void Forwarder::ScheduleHedge(Exchange* it, const PlacementChoice& choice) {
@@ -598,7 +599,7 @@
     deps_.limiter->Return(it->workspace->name, EventLoop::Now());
   if (!it->caller_disconnected) {
     deps_.front->Reply(it->caller, refusal.status, headers,
-                       fmt::format(R"({{"code":"{}"}})", refusal.code));
+                       Body(fmt::format(R"({{"code":"{}"}})", refusal.code)));
   }
   FinishExchange(it, refusal.code, refusal.status, "");
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -178,8 +178,8 @@
   // Chooses an instance and sends an attempt to it. Returns false if no
   // instance can take the request.
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
-  std::string RequestBytes(const Exchange& it, const std::string& instance,
-                           Duration left) const;
+  std::string RequestHead(const Exchange& it, const std::string& instance,
+                          Duration left) const;
   static ServiceTimeModel::Warmth WarmthOf(const Exchange& it,
                                            const Attempt& attempt);
   void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
--- a/src/gateway/front_server.cc
+++ b/src/gateway/front_server.cc
@@ -161,11 +161,11 @@
   it->should_close = true;
   HttpHeaders headers;
   headers.Add("Content-Type", "application/json");
-  Send(it, status, headers, R"({"error":"request refused"})");
+  Send(it, status, headers, Body(R"({"error":"request refused"})"));
 }
 
 void FrontServer::Reply(CallerId id, int status, const HttpHeaders& headers,
-                        std::string_view body) {
+                        const Body& body) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
   Connection* it = found->second.get();
@@ -176,12 +176,15 @@
 }
 
 void FrontServer::Send(Connection* it, int status, const HttpHeaders& headers,
-                       std::string_view body) {
+                       const Body& body) {
   HttpHeaders out = headers;
   if (it->should_close) out.Add("Connection", "close");
-  const std::string text = SerializeResponse(status, out, body, it->is_head);
+  const std::string head =
+      SerializeResponseHead(status, out, body.size(), it->is_head);
   it->state = State::kReplying;
-  bufferevent_write(it->bev, text.data(), text.size());
+  evbuffer* buf = bufferevent_get_output(it->bev);
+  evbuffer_add(buf, head.data(), head.size());
+  if (HasResponseBody(status, it->is_head)) body.AddTo(buf);
 }
 
 void FrontServer::HandleWrite(bufferevent* bev, void* arg) {
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -52,7 +52,7 @@
 
   // Sends the response. Does nothing if the caller has disconnected.
   void Reply(CallerId id, int status, const HttpHeaders& headers,
-             std::string_view body);
+             const Body& body);
 
   // Closes each connection after its next response.
   void CloseAfterResponses() { closes_after_responses_ = true; }
@@ -85,7 +85,7 @@
   void ReadMore(Connection* it);
   void Refuse(Connection* it, int status);
   void Send(Connection* it, int status, const HttpHeaders& headers,
-            std::string_view body);
+            const Body& body);
   void SetReadTimeout(Connection* it, Duration timeout);
   void Linger(Connection* it);
   void Remove(CallerId id);
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -135,9 +135,11 @@
   it->state = State::kBusy;
   it->parser.Reset(it->request.is_head);
   bufferevent_enable(it->bev, EV_READ | EV_WRITE);
-  bufferevent_write(it->bev, it->request.bytes.data(),
-                    it->request.bytes.size());
-  it->request.bytes = {};
+  evbuffer* out = bufferevent_get_output(it->bev);
+  evbuffer_add(out, it->request.head.data(), it->request.head.size());
+  it->request.body.AddTo(out);
+  it->request.head = {};
+  it->request.body = {};
 }
 
 void UpstreamPool::HandleRead(bufferevent*, void* arg) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -70,7 +70,8 @@
   static constexpr size_t kMaxIdlePerInstance = 16;
 
   struct Request {
-    std::string bytes;       // header and body
+    std::string head;  // with the framing of the body
+    Body body;
     std::string request_id;  // responses with another id are ignored
     std::string id_header;   // name of the header field with the id
     bool is_head = false;
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -142,6 +142,14 @@
   MessageParser* self = Self(raw);
   self->FlushField();
   self->state_ = ParseState::kBody;
+  // An announced length is checked before any byte of the body is kept.
+  const size_t limit = self->limits_.max_body_bytes;
+  const bool has_length = raw->content_length != ULLONG_MAX;
+  if (limit != 0 && has_length && raw->content_length > limit &&
+      !self->is_head_response_) {
+    self->state_ = ParseState::kBodyTooLarge;
+    return -1;
+  }
   ReceivedMessage& message = self->message_;
   message.keep_alive = http_should_keep_alive(raw) != 0;
   if (self->type_ == HttpMessageType::kRequest) {
@@ -160,7 +168,7 @@
     self->state_ = ParseState::kBodyTooLarge;
     return 1;
   }
-  self->message_.body.append(data, n);
+  self->message_.body.Append({data, n});
   return 0;
 }
 
@@ -182,33 +190,36 @@
   return 0;
 }
 
-std::string SerializeRequest(std::string_view method, std::string_view target,
-                             const HttpHeaders& headers,
-                             std::string_view body) {
+std::string SerializeRequestHead(std::string_view method,
+                                 std::string_view target,
+                                 const HttpHeaders& headers,
+                                 size_t body_bytes) {
   std::string out;
-  out.reserve(256 + body.size());
+  out.reserve(256);
   out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
   AppendFields(headers, &out);
   const bool has_body_semantics =
       method == "POST" || method == "PUT" || method == "PATCH";
-  if (!body.empty() || has_body_semantics)
-    out.append(fmt::format("Content-Length: {}\r\n", body.size()));
-  out.append("\r\n").append(body);
+  if (body_bytes > 0 || has_body_semantics)
+    out.append(fmt::format("Content-Length: {}\r\n", body_bytes));
+  out.append("\r\n");
   return out;
 }
 
-std::string SerializeResponse(int status, const HttpHeaders& headers,
-                              std::string_view body, bool is_head_response) {
+bool HasResponseBody(int status, bool is_head_response) {
+  return status != 204 && status != 304 && !is_head_response;
+}
+
+std::string SerializeResponseHead(int status, const HttpHeaders& headers,
+                                  size_t body_bytes, bool is_head_response) {
   std::string out;
-  out.reserve(256 + body.size());
+  out.reserve(256);
   out.append(fmt::format("HTTP/1.1 {} {}\r\n", status,
                          http_status_str(static_cast<http_status>(status))));
   AppendFields(headers, &out);
-  const bool has_no_body = status == 204 || status == 304 || is_head_response;
-  if (!has_no_body)
-    out.append(fmt::format("Content-Length: {}\r\n", body.size()));
+  if (HasResponseBody(status, is_head_response))
+    out.append(fmt::format("Content-Length: {}\r\n", body_bytes));
   out.append("\r\n");
-  if (!has_no_body) out.append(body);
   return out;
 }
 
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -7,19 +7,20 @@
 #include <string>
 #include <string_view>
 
+#include "http/body.h"
 #include "net/http_message.h"
 
 namespace rwf {
 
 enum class HttpMessageType { kRequest, kResponse };
 
-// A received HTTP/1.1 message. The body is stored without chunk framing.
+// A received HTTP/1.1 message. The body is kept without chunk framing.
 struct ReceivedMessage {
   std::string method;  // requests
   std::string target;  // requests: path and query as sent
   int status = 0;      // responses
   HttpHeaders headers;
-  std::string body;
+  Body body;
   bool keep_alive = true;
   // False for a response whose body is delimited by the close of its
   // connection.
@@ -96,11 +97,14 @@
   int interim_responses_ = 0;
 };
 
-// Serialize a message whose body is delimited by Content-Length.
-std::string SerializeRequest(std::string_view method, std::string_view target,
-                             const HttpHeaders& headers, std::string_view body);
-std::string SerializeResponse(int status, const HttpHeaders& headers,
-                              std::string_view body, bool is_head_response);
+// Serialize the head of a message whose body is delimited by Content-Length.
+std::string SerializeRequestHead(std::string_view method,
+                                 std::string_view target,
+                                 const HttpHeaders& headers, size_t body_bytes);
+// A response to a HEAD request, and one with status 204 or 304, has no body.
+bool HasResponseBody(int status, bool is_head_response);
+std::string SerializeResponseHead(int status, const HttpHeaders& headers,
+                                  size_t body_bytes, bool is_head_response);
 
 // True for header fields that apply to a single connection and are never
 // forwarded, including those that frame the body.
--- a/src/once/crash_guard.cc
+++ b/src/once/crash_guard.cc
@@ -23,7 +23,8 @@
 }  // namespace
 
 Digest CrashFingerprint(std::string_view workspace, std::string_view method,
-                        std::string_view path, std::string_view body) {
+                        std::string_view path,
+                        const std::vector<std::string_view>& body) {
   const Digest request = RequestDigest(method, path, body);
   return ClaimDigest(workspace, ToHex(request));
 }
--- a/src/once/crash_guard.h
+++ b/src/once/crash_guard.h
@@ -16,7 +16,8 @@
 
 // Identifies identical requests of a workspace.
 Digest CrashFingerprint(std::string_view workspace, std::string_view method,
-                        std::string_view path, std::string_view body);
+                        std::string_view path,
+                        const std::vector<std::string_view>& body);
 
 // Stops requests that crash the upstreams that run them. A fingerprint that was
 // in flight at the crashes of two distinct instances is blocked for
--- a/src/once/idempotency_key.cc
+++ b/src/once/idempotency_key.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <charconv>
 
+#include "base/sha256_hasher.h"
+
 namespace rwf {
 namespace {
 
@@ -140,11 +142,22 @@
 
 Digest RequestDigest(std::string_view method, std::string_view path,
                      std::string_view body) {
-  std::string text;
-  AppendPart(&text, method);
-  AppendPart(&text, path);
-  AppendPart(&text, body);
-  return Sha256(text);
+  return RequestDigest(method, path, std::vector<std::string_view>{body});
+}
+
+Digest RequestDigest(std::string_view method, std::string_view path,
+                     const std::vector<std::string_view>& body) {
+  std::string head;
+  AppendPart(&head, method);
+  AppendPart(&head, path);
+  size_t body_bytes = 0;
+  for (std::string_view it : body) body_bytes += it.size();
+  head += std::to_string(body_bytes);
+  head += ':';
+  Sha256Hasher hasher;
+  hasher.Update(head);
+  for (std::string_view it : body) hasher.Update(it);
+  return hasher.Finish();
 }
 
 }  // namespace rwf
--- a/src/once/idempotency_key.h
+++ b/src/once/idempotency_key.h
@@ -57,6 +57,9 @@
 // Identifies the request that a key is used for.
 Digest RequestDigest(std::string_view method, std::string_view path,
                      std::string_view body);
+// The same for a body in pieces.
+Digest RequestDigest(std::string_view method, std::string_view path,
+                     const std::vector<std::string_view>& body);
 
 }  // namespace rwf
 
--- a/tests/gateway/crash_watch_test.cc
+++ b/tests/gateway/crash_watch_test.cc
@@ -47,7 +47,7 @@
 
   std::list<CrashWatch> watches;
   TimePoint now{std::chrono::hours(2)};
-  const Digest poison = CrashFingerprint("w", "GET", "/a/1", "");
+  const Digest poison = CrashFingerprint("w", "GET", "/a/1", {});
 };
 
 // Guards against a request that its caller repeats and that crashes one
@@ -61,7 +61,7 @@
   now += std::chrono::seconds(2);
   BreakRun(2, "i3", poison, true);
   for (size_t vm = 0; vm < 3; ++vm) CHECK(Vm(vm).IsBlocked(poison, now));
-  CHECK_FALSE(Vm(0).IsBlocked(CrashFingerprint("w", "GET", "/a/2", ""), now));
+  CHECK_FALSE(Vm(0).IsBlocked(CrashFingerprint("w", "GET", "/a/2", {}), now));
 }
 
 // Guards against taking the ends of a request's own making for a common cause:
@@ -180,7 +180,7 @@
     }
   }
   Digest Unique() {
-    return CrashFingerprint("w", "GET", std::to_string(next_id++), "");
+    return CrashFingerprint("w", "GET", std::to_string(next_id++), {});
   }
   void CheckNoneBlocked() {
     for (const Digest& it : all) {
@@ -234,7 +234,7 @@
 // blaming those that shared an instance with one.
 TEST_CASE_FIXTURE(ZoneLossFixture,
                   "Requests, two crash instances at once, are blocked alone") {
-  const Digest other = CrashFingerprint("w", "GET", "/a/2", "");
+  const Digest other = CrashFingerprint("w", "GET", "/a/2", {});
   EndZone(
       [&](int instance) {
         return std::vector<Digest>{instance % 2 == 0 ? poison : other,
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -489,7 +489,7 @@
         }));
     const std::string id = "i" + std::to_string(n);
     pool.Send({id, "127.0.0.1", instances.back()->port},
-              {"GET / HTTP/1.1\r\n\r\n", id, "X-Request-Id", false, true},
+              {"GET / HTTP/1.1\r\n\r\n", {}, id, "X-Request-Id", false, true},
               [&, n](const SendResult& it) {
                 CHECK(it.outcome == SendOutcome::kBroken);
                 CHECK(n != 0);
@@ -666,7 +666,7 @@
 // reported that it crashes instances.
 TEST_CASE_FIXTURE(CrashingRequestFixture,
                   "Request, blocked while it runs, is not sent again") {
-  const Digest fingerprint = CrashFingerprint("w", "GET", "/safe/lost", "");
+  const Digest fingerprint = CrashFingerprint("w", "GET", "/safe/lost", {});
   ScriptedInstance instance(&loop, [&](const std::string&) {
     for (const char* id : {"a", "b"}) {
       wire::CrashSuspicionT suspicion;
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -160,7 +160,8 @@
 TEST_CASE("Response, serialized, parses back") {
   HttpHeaders headers;
   headers.Add("A", "b");
-  const std::string text = SerializeResponse(200, headers, "body", false);
+  const std::string text =
+      SerializeResponseHead(200, headers, 4, false) + "body";
   MessageParser parser(HttpMessageType::kResponse, {});
   CHECK(parser.Feed(text) == text.size());
   REQUIRE(parser.state() == ParseState::kComplete);
