Run pipelined idempotent requests side by side

A request that was sent ahead stayed in the buffer until the response to the one before it had been sent, so eight requests of 0.3 s took 2.41 s. Each request now has an ExchangeId of its own, by which the forwarder keys it, and a connection holds its exchanges in order of arrival: up to eight idempotent ones run at once and are answered in order, a non-idempotent one waits and lets none overtake it, and nothing behind a closing response starts. The deadline of a request that waits runs from the moment it was read.

--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,250 @@
+#include "gateway/caller_connection.h"
+
+#include <event2/buffer.h>
+#include <sys/socket.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace rwf {
+
+CallerConnection::CallerConnection(Owner* owner, evutil_socket_t fd)
+    : owner_(owner),
+      bev_(bufferevent_socket_new(owner->loop()->base(), fd,
+                                  BEV_OPT_CLOSE_ON_FREE)) {
+  bufferevent_setcb(bev_, &CallerConnection::HandleRead,
+                    &CallerConnection::HandleWrite,
+                    &CallerConnection::HandleEvent, this);
+  bufferevent_setwatermark(bev_, EV_READ, 0, kMaxUnreadBytes);
+  UpdateReadTimeout();
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+}
+
+CallerConnection::~CallerConnection() { bufferevent_free(bev_); }
+
+size_t CallerConnection::OutputBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(bev_));
+}
+
+void CallerConnection::UpdateReadTimeout() {
+  Duration timeout{};
+  if (is_lingering_) {
+    timeout = kLingerTimeout;
+  } else if (is_reading_ && !must_wait_) {
+    timeout = has_head_ ? kStallTimeout : owner_->limits().header_timeout;
+  } else if (!is_reading_ && !held_ && queue_.empty() && OutputBytes() == 0) {
+    timeout = owner_->limits().idle_timeout;
+  }
+  if (timeout == read_timeout_) return;
+  read_timeout_ = timeout;
+  const timeval stall = ToTimeval(kStallTimeout);
+  const timeval tv = ToTimeval(timeout);
+  bufferevent_set_timeouts(bev_, timeout > Duration::zero() ? &tv : nullptr,
+                           &stall);
+}
+
+void CallerConnection::HandleRead(bufferevent*, void* arg) {
+  static_cast<CallerConnection*>(arg)->ReadMore();
+}
+
+bool CallerConnection::MayRead() const {
+  if (queue_.is_closed()) return false;
+  if (is_reading_) return true;
+  return queue_.MayStart(true) &&
+         queue_.waiting_bytes() + OutputBytes() <= kMaxWaitingBytes;
+}
+
+void CallerConnection::ReadMore() {
+  // A request may be answered while it is handled.
+  if (is_in_read_loop_) return;
+  is_in_read_loop_ = true;
+  for (bool goes_on = true; goes_on;) {
+    if (queue_.is_closed()) {
+      // What follows the last request is never started.
+      evbuffer_drain(input(), evbuffer_get_length(input()));
+      break;
+    }
+    if (held_) {
+      if (!queue_.empty()) break;
+      ReceivedMessage request = *std::exchange(held_, std::nullopt);
+      Start(std::move(request));
+      continue;
+    }
+    if (must_wait_) {
+      if (!queue_.empty()) break;
+      must_wait_ = false;
+      OnHead();
+      continue;
+    }
+    goes_on = MayRead() && evbuffer_get_length(input()) > 0 && ReadSome();
+  }
+  is_in_read_loop_ = false;
+  UpdateReadTimeout();
+}
+
+void CallerConnection::BeginMessage() {
+  const CallerLimits& limits = owner_->limits();
+  is_reading_ = true;
+  has_head_ = false;
+  must_wait_ = false;
+  message_started_at_ = EventLoop::Now();
+  parser_.Reset();
+  parser_.set_limits({static_cast<size_t>(limits.max_header_bytes),
+                      static_cast<size_t>(limits.max_body_bytes)});
+}
+
+bool CallerConnection::ReadSome() {
+  if (!is_reading_) BeginMessage();
+  evbuffer_iovec chunk;
+  if (evbuffer_peek(input(), -1, nullptr, &chunk, 1) < 1) return false;
+  const size_t n =
+      parser_.Feed({static_cast<const char*>(chunk.iov_base), chunk.iov_len});
+  evbuffer_drain(input(), n);
+  switch (parser_.state()) {
+    case ParseState::kHead: {
+      const Duration timeout = owner_->limits().header_timeout;
+      if (timeout > Duration::zero() &&
+          EventLoop::Now() - message_started_at_ > timeout)
+        Refuse(408);
+      return true;
+    }
+    case ParseState::kBody:
+      if (!has_head_) OnHead();
+      return true;
+    case ParseState::kComplete:
+      OnMessage();
+      return true;
+    case ParseState::kHeadTooLarge:
+      Refuse(431);
+      return true;
+    case ParseState::kBodyTooLarge:
+      Refuse(413);
+      return true;
+    case ParseState::kMalformed:
+      Refuse(400);
+      return true;
+  }
+  return false;
+}
+
+bool CallerConnection::MayPipeline(const ReceivedMessage& request) const {
+  // An interim response must not go before the responses to earlier requests.
+  return !request.headers.Has("Expect") && owner_->MayPipeline(request);
+}
+
+void CallerConnection::OnHead() {
+  if (!queue_.empty() && !MayPipeline(parser_.message())) {
+    must_wait_ = true;
+    return;
+  }
+  has_head_ = true;
+  if (parser_.message().headers.Has("Expect")) {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    bufferevent_write(bev_, kContinue.data(), kContinue.size());
+  }
+}
+
+void CallerConnection::OnMessage() {
+  ReceivedMessage request = parser_.Take();
+  is_reading_ = false;
+  request.received_at = EventLoop::Now();
+  if (queue_.empty() || queue_.MayStart(MayPipeline(request))) {
+    Start(std::move(request));
+  } else {
+    held_ = std::move(request);
+  }
+}
+
+void CallerConnection::Start(ReceivedMessage request) {
+  const ExchangeId id = owner_->NewExchange(this);
+  queue_.Add(id, MayPipeline(request), request.method == "HEAD");
+  if (!request.keep_alive || owner_->closes_after_responses()) EndInput();
+  owner_->Handle(id, std::move(request));
+}
+
+void CallerConnection::Refuse(int status) {
+  HttpHeaders headers;
+  headers.Add("Content-Type", "application/json");
+  queue_.AddRefusal(
+      {status, std::move(headers), Body(R"({"error":"request refused"})")});
+  EndInput();
+  SendReady();
+}
+
+void CallerConnection::EndInput() {
+  queue_.Close();
+  is_reading_ = false;
+  must_wait_ = false;
+  held_.reset();
+  parser_.Reset();
+}
+
+void CallerConnection::Answer(ExchangeId id, ExchangeQueue::Response response) {
+  if (queue_.Answer(id, std::move(response))) SendReady();
+}
+
+void CallerConnection::SendReady() {
+  evbuffer* buf = bufferevent_get_output(bev_);
+  while (const auto next = queue_.TakeNext()) {
+    const ExchangeQueue::Response& response = *next->response;
+    HttpHeaders headers = response.headers;
+    if (next->is_last) headers.Add("Connection", "close");
+    is_last_sent_ = next->is_last;
+    const std::string head = SerializeResponseHead(
+        response.status, headers, response.body.size(), next->is_head);
+    evbuffer_add(buf, head.data(), head.size());
+    if (HasResponseBody(response.status, next->is_head))
+      response.body.AddTo(buf);
+  }
+  UpdateReadTimeout();
+}
+
+void CallerConnection::HandleWrite(bufferevent*, void* arg) {
+  auto* it = static_cast<CallerConnection*>(arg);
+  if (it->is_lingering_ || it->OutputBytes() > 0) return;
+  if (it->is_last_sent_) {
+    it->Linger();
+    return;
+  }
+  it->ReadMore();
+}
+
+void CallerConnection::Linger() {
+  queue_.Close();
+  is_lingering_ = true;
+  shutdown(bufferevent_getfd(bev_), SHUT_WR);
+  // A caller that goes on sending does not prolong it.
+  linger_timer_ =
+      owner_->loop()->After(kLingerTimeout, [this] { owner_->Close(this); });
+  // Reading is disabled after a read timeout.
+  bufferevent_enable(bev_, EV_READ);
+  ReadMore();
+}
+
+void CallerConnection::HandleEvent(bufferevent*, short what, void* arg) {
+  auto* it = static_cast<CallerConnection*>(arg);
+  const bool is_late_request = (what & BEV_EVENT_TIMEOUT) != 0 &&
+                               (what & BEV_EVENT_READING) != 0 &&
+                               it->is_reading_;
+  if (!is_late_request) {
+    it->owner_->Close(it);
+    return;
+  }
+  it->Refuse(408);
+  // Reading goes on, so that a disconnected caller is noticed.
+  bufferevent_enable(it->bev_, EV_READ);
+}
+
+void CallerConnection::CloseAfterResponses() {
+  if (!queue_.empty()) EndInput();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!is_lingering_ && !is_reading_ && !held_ && queue_.empty() &&
+      OutputBytes() == 0 && evbuffer_get_length(input()) == 0)
+    Linger();
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/gateway/caller_connection.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "gateway/exchange_queue.h"
+#include "http/parser.h"
+#include "net/event_loop.h"
+#include "traffic/catalog.h"
+
+namespace rwf {
+
+// One connection of a caller: reads requests, starts them in order of arrival
+// and writes the responses in the same order
+// (docs/design/front-connections.md).
+class CallerConnection {
+ public:
+  // Owns the connections. Closing a connection destroys it.
+  class Owner {
+   public:
+    Owner() = default;
+    Owner(const Owner&) = delete;
+    Owner& operator=(const Owner&) = delete;
+    virtual ~Owner() = default;
+    virtual EventLoop* loop() = 0;
+    virtual const CallerLimits& limits() const = 0;
+    // True once each connection closes after the requests that it has started.
+    virtual bool closes_after_responses() const = 0;
+    virtual bool MayPipeline(const ReceivedMessage& request) = 0;
+    virtual ExchangeId NewExchange(CallerConnection* connection) = 0;
+    // May reply before it returns.
+    virtual void Handle(ExchangeId id, ReceivedMessage request) = 0;
+    virtual void Close(CallerConnection* connection) = 0;
+  };
+
+  // After the last response, a connection waits this long for the caller to
+  // close it: closing with unread bytes would reset the connection and lose the
+  // response.
+  static constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+  // Timeout without progress while a caller sends a body or reads a response.
+  static constexpr Duration kStallTimeout = std::chrono::seconds(20);
+  // Maximum input that is buffered while no further request may be read.
+  static constexpr size_t kMaxUnreadBytes = 64 << 10;
+  // No further request is read while responses of more bytes wait or are
+  // unsent.
+  static constexpr size_t kMaxWaitingBytes = 256 << 10;
+
+  CallerConnection(Owner* owner, evutil_socket_t fd);
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+  ~CallerConnection();
+
+  void Answer(ExchangeId id, ExchangeQueue::Response response);
+  // Starts nothing more if a request is unanswered. The response to the last
+  // started request closes the connection.
+  void CloseAfterResponses();
+  // Closes the connection if no request has begun.
+  void CloseIfIdle();
+  std::vector<ExchangeId> Unanswered() const { return queue_.Unanswered(); }
+
+ private:
+  static void HandleRead(bufferevent*, void* arg);
+  static void HandleWrite(bufferevent*, void* arg);
+  static void HandleEvent(bufferevent*, short what, void* arg);
+
+  evbuffer* input() const { return bufferevent_get_input(bev_); }
+  size_t OutputBytes() const;
+  bool MayRead() const;
+  void ReadMore();
+  // Feeds the parser once. Returns false if it takes no more bytes.
+  bool ReadSome();
+  void BeginMessage();
+  // The head is complete, the body is not.
+  void OnHead();
+  void OnMessage();
+  void Start(ReceivedMessage request);
+  // True if the request may start behind others.
+  bool MayPipeline(const ReceivedMessage& request) const;
+  void Refuse(int status);
+  void EndInput();
+  void SendReady();
+  void Linger();
+  void UpdateReadTimeout();
+
+  Owner* owner_;
+  bufferevent* bev_;
+  MessageParser parser_{HttpMessageType::kRequest, {}};
+  ExchangeQueue queue_;
+  bool is_reading_ = false;  // a byte of the next request has been read
+  bool has_head_ = false;    // of the request that is being read
+  // The request that is being read may not be pipelined.
+  bool must_wait_ = false;
+  // A complete request that waits for those before it.
+  std::optional<ReceivedMessage> held_;
+  bool is_last_sent_ = false;
+  bool is_lingering_ = false;
+  bool is_in_read_loop_ = false;
+  TimePoint message_started_at_{};
+  Duration read_timeout_{-1};
+  std::unique_ptr<Timer> linger_timer_;
+};
+
+}  // namespace rwf
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -65,16 +65,16 @@
   catalog_ = std::move(catalog);
 }
 
-void Forwarder::Handle(CallerId caller, ReceivedMessage request) {
+void Forwarder::Handle(ExchangeId id, ReceivedMessage request) {
   const TimePoint now = EventLoop::Now();
   ExchangePtr owned = std::make_unique<Exchange>();
   Exchange* it = owned.get();
-  it->caller = caller;
+  it->id = id;
   it->request = std::move(request);
   it->request_id = it->request.headers.Get(deps_.header_names->request_id);
-  it->arrived_at = now;
+  it->arrived_at = it->request.received_at;
   it->catalog = catalog_;
-  exchanges_[caller] = std::move(owned);
+  exchanges_[id] = std::move(owned);
   arrivals_.Add(now);
   if (catalog_ == nullptr) {
     Refuse(it, {503, "no-configuration", kConfigurationRetryAfter});
@@ -88,8 +88,20 @@
   Start(it, now);
 }
 
+bool Forwarder::MayPipeline(const ReceivedMessage& request) const {
+  if (catalog_ == nullptr) return false;
+  const TrafficRoute* route =
+      catalog_->FindRoute(request.headers.Get("Host"), PathOf(request.target));
+  return route != nullptr && route->idempotent;
+}
+
 void Forwarder::Start(Exchange* it, TimePoint now) {
   Prepare(it, now);
+  // It waited for earlier requests of its connection.
+  if (it->deadline < now) {
+    Refuse(it, {503, "deadline", {}});
+    return;
+  }
   if (it->deadline > stop_at_) {
     Refuse(it, {503, "stopping", kStoppingRetryAfter});
     return;
@@ -147,7 +159,7 @@
       return false;
     case WorkspaceLimiter::Admission::kWaiting:
       it->limit_ticket = ticket;
-      limit_tickets_[ticket] = it->caller;
+      limit_tickets_[ticket] = it->id;
       return false;
   }
   return false;
@@ -210,9 +222,9 @@
   placement_request.is_retry =
       deadline_ms < max_deadline_ms - kRetryDeadlineGapMs;
   deps_.budget->OnRequest(placement_request.service, now);
-  const CallerId caller = it->caller;
-  it->deadline_timer = deps_.loop->After(
-      it->deadline - now, [this, caller] { OnDeadline(caller); });
+  const ExchangeId id = it->id;
+  it->deadline_timer =
+      deps_.loop->After(it->deadline - now, [this, id] { OnDeadline(id); });
 }
 
 bool Forwarder::CheckCrashSuspicion(Exchange* it, TimePoint now) {
@@ -273,12 +285,12 @@
   request.id_header = deps_.header_names->request_id;
   request.is_head = it->request.method == "HEAD";
   request.is_idempotent = it->route->idempotent;
-  const CallerId caller = it->caller;
-  const uint64_t id = attempt.id;
+  const ExchangeId id = it->id;
+  const uint64_t attempt_id = attempt.id;
   attempt.send_id =
       deps_.pool->Send({info.id, info.address, info.port}, std::move(request),
-                       [this, caller, id](const SendResult& result) {
-                         OnResult(caller, id, result);
+                       [this, id, attempt_id](const SendResult& result) {
+                         OnResult(id, attempt_id, result);
                        });
   it->attempts.push_back(std::move(attempt));
   if (it->route->idempotent) ScheduleHedge(it, choice);
@@ -307,13 +319,12 @@
   const Duration delay = std::max(
       kMinHedgeDelay,
       FromSeconds(ToSeconds(choice.expected_total) * kHedgeDelayFactor));
-  const CallerId caller = it->caller;
-  it->hedge_timer =
-      deps_.loop->After(delay, [this, caller] { OnHedgeTimer(caller); });
+  const ExchangeId id = it->id;
+  it->hedge_timer = deps_.loop->After(delay, [this, id] { OnHedgeTimer(id); });
 }
 
-void Forwarder::OnHedgeTimer(CallerId caller) {
-  const auto found = exchanges_.find(caller);
+void Forwarder::OnHedgeTimer(ExchangeId id) {
+  const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
   it->hedge_timer.reset();
@@ -362,9 +373,9 @@
                          : ServiceTimeModel::Warmth::kUncertain;
 }
 
-void Forwarder::OnResult(CallerId caller, uint64_t attempt_id,
+void Forwarder::OnResult(ExchangeId id, uint64_t attempt_id,
                          const SendResult& result) {
-  const auto found = exchanges_.find(caller);
+  const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
   const TimePoint now = EventLoop::Now();
@@ -509,8 +520,8 @@
   Refuse(it, {502, is_blocked ? "suspected-crash" : "upstream-failed", {}});
 }
 
-void Forwarder::OnDeadline(CallerId caller) {
-  const auto found = exchanges_.find(caller);
+void Forwarder::OnDeadline(ExchangeId id) {
+  const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
   const TimePoint now = EventLoop::Now();
@@ -528,8 +539,8 @@
   }
 }
 
-void Forwarder::OnCallerDisconnected(CallerId caller) {
-  const auto found = exchanges_.find(caller);
+void Forwarder::OnCallerDisconnected(ExchangeId id) {
+  const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange* it = found->second.get();
   it->caller_disconnected = true;
@@ -581,7 +592,7 @@
     HttpHeaders headers = ForwardableHeaders(response.headers);
     for (const std::string& name : deps_.header_names->instance_notices)
       headers.Remove(name);
-    deps_.front->Reply(it->caller, response.status, headers, response.body);
+    deps_.front->Reply(it->id, response.status, headers, response.body);
   }
   FinishExchange(it, "answered", response.status, instance);
 }
@@ -598,7 +609,7 @@
   if (refusal.status == 503 && it->is_admitted)
     deps_.limiter->Return(it->workspace->name, EventLoop::Now());
   if (!it->caller_disconnected) {
-    deps_.front->Reply(it->caller, refusal.status, headers,
+    deps_.front->Reply(it->id, refusal.status, headers,
                        Body(fmt::format(R"({{"code":"{}"}})", refusal.code)));
   }
   FinishExchange(it, refusal.code, refusal.status, "");
@@ -633,8 +644,7 @@
     deps_.limiter->Cancel(it->limit_ticket);
     limit_tickets_.erase(it->limit_ticket);
   }
-  const CallerId caller = it->caller;
-  exchanges_.erase(caller);
+  exchanges_.erase(it->id);
 }
 
 }  // namespace rwf
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -97,8 +97,11 @@
   void SetCatalog(std::shared_ptr<const Catalog> catalog);
   const std::shared_ptr<const Catalog>& catalog() const { return catalog_; }
 
-  void Handle(CallerId caller, ReceivedMessage request);
-  void OnCallerDisconnected(CallerId caller);
+  void Handle(ExchangeId id, ReceivedMessage request);
+  // Returns whether the request may run beside others of its connection: only
+  // its route tells whether it is idempotent.
+  bool MayPipeline(const ReceivedMessage& request) const;
+  void OnCallerDisconnected(ExchangeId id);
   // Continues or refuses a request that waited for a decision on the limit of
   // its workspace.
   void OnLimitDecided(const WorkspaceLimiter::Decision& decision);
@@ -132,7 +135,7 @@
     bool is_remote = false;
   };
   struct Exchange {
-    CallerId caller = 0;
+    ExchangeId id = 0;
     ReceivedMessage request;
     std::string request_id;
     std::shared_ptr<const Catalog> catalog;
@@ -182,7 +185,7 @@
                           Duration left) const;
   static ServiceTimeModel::Warmth WarmthOf(const Exchange& it,
                                            const Attempt& attempt);
-  void OnResult(CallerId caller, uint64_t attempt, const SendResult& result);
+  void OnResult(ExchangeId id, uint64_t attempt_id, const SendResult& result);
   void RecordLoadReport(const std::string& instance,
                         const ReceivedMessage& response, TimePoint now);
   // Records what the instance said of itself. Returns false if it said nothing
@@ -191,8 +194,8 @@
                     const ReceivedMessage& response, TimePoint now);
   void RetryOrFail(Exchange* it, AttemptOutcome outcome,
                    const SendResult& result);
-  void OnDeadline(CallerId caller);
-  void OnHedgeTimer(CallerId caller);
+  void OnDeadline(ExchangeId id);
+  void OnHedgeTimer(ExchangeId id);
   void ScheduleHedge(Exchange* it, const PlacementChoice& choice);
 
   void Respond(Exchange* it, const ReceivedMessage& response,
@@ -221,8 +224,8 @@
   TimePoint stop_at_ = TimePoint::max();
   uint64_t next_attempt_id_ = 1;
   WorkspaceLimiter::Ticket next_limit_ticket_ = 1;
-  std::unordered_map<CallerId, ExchangePtr> exchanges_;
-  std::unordered_map<WorkspaceLimiter::Ticket, CallerId> limit_tickets_;
+  std::unordered_map<ExchangeId, ExchangePtr> exchanges_;
+  std::unordered_map<WorkspaceLimiter::Ticket, ExchangeId> limit_tickets_;
 };
 
 }  // namespace rwf
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include <cstdint>
@@ -10,93 +9,75 @@
 #include <unordered_map>
 
 #include "base/error.h"
+#include "gateway/caller_connection.h"
 #include "http/parser.h"
 #include "net/event_loop.h"
 #include "traffic/catalog.h"
 
 namespace rwf {
 
-// Identifies one caller connection. Never reused within a process.
-using CallerId = uint64_t;
-
-// Accepts caller connections and passes on complete requests, one at a time per
-// connection. Uses bufferevents instead of evhttp, which reports neither
-// whether a caller disconnected before its response nor whether unread bytes
-// would reset the connection.
-class FrontServer {
+// Accepts caller connections and passes on complete requests. Uses bufferevents
+// instead of evhttp, which reports neither whether a caller disconnected before
+// its response nor whether unread bytes would reset the connection.
+class FrontServer : public CallerConnection::Owner {
  public:
   struct Callbacks {
     // Receives a complete request. Reply must be called for it unless the
     // caller disconnects.
-    std::function<void(CallerId, ReceivedMessage)> on_request;
-    // The caller closed its connection before the response.
-    std::function<void(CallerId)> on_disconnected;
+    std::function<void(ExchangeId, ReceivedMessage)> on_request;
+    // The caller closed its connection before the response was ready.
+    std::function<void(ExchangeId)> on_disconnected;
+    // Returns whether the request may run beside others of its connection that
+    // may. If absent, no request may.
+    std::function<bool(const ReceivedMessage&)> may_pipeline;
   };
-  // After the last response, a connection waits this long for the caller to
-  // close it: closing with unread bytes would reset the connection and lose the
-  // response.
-  static constexpr Duration kLingerTimeout = std::chrono::seconds(1);
-  // Timeout without progress while a caller sends a body or reads a response.
-  static constexpr Duration kStallTimeout = std::chrono::seconds(20);
-  // Maximum input that is buffered while a request is handled.
-  static constexpr size_t kMaxPipelinedBytes = 64 << 10;
 
   FrontServer(EventLoop* loop, Callbacks callbacks);
   FrontServer(const FrontServer&) = delete;
   FrontServer& operator=(const FrontServer&) = delete;
-  ~FrontServer();
+  ~FrontServer() override;
 
   Result<void> Listen(const std::string& address, uint16_t port);
   void StopListening();
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
-  // Sends the response. Does nothing if the caller has disconnected.
-  void Reply(CallerId id, int status, const HttpHeaders& headers,
+  // Sends the response once those to earlier requests of its connection have
+  // been sent. Does nothing if the caller has disconnected.
+  void Reply(ExchangeId id, int status, const HttpHeaders& headers,
              const Body& body);
 
-  // Closes each connection after its next response.
-  void CloseAfterResponses() { closes_after_responses_ = true; }
+  // Closes each connection after the responses to the requests that it has
+  // started.
+  void CloseAfterResponses();
   // Closes the connections on which no request has begun.
   void CloseIdle();
 
   size_t connections() const { return connections_.size(); }
-  size_t open_requests() const { return open_requests_; }
+  size_t open_requests() const { return exchanges_.size(); }
 
  private:
-  enum class State { kIdle, kReading, kHandling, kReplying, kLingering };
-  struct Connection {
-    FrontServer* server = nullptr;
-    CallerId id = 0;
-    bufferevent* bev = nullptr;
-    MessageParser parser{HttpMessageType::kRequest, {}};
-    State state = State::kIdle;
-    bool should_close = false;
-    bool is_head = false;
-    bool sent_continue = false;
-    TimePoint request_started_at{};
-    ~Connection();
-  };
   static void HandleAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
                            void* self);
-  static void HandleRead(bufferevent*, void* arg);
-  static void HandleWrite(bufferevent*, void* arg);
-  static void HandleEvent(bufferevent*, short what, void* arg);
 
-  void ReadMore(Connection* it);
-  void Refuse(Connection* it, int status);
-  void Send(Connection* it, int status, const HttpHeaders& headers,
-            const Body& body);
-  void SetReadTimeout(Connection* it, Duration timeout);
-  void Linger(Connection* it);
-  void Remove(CallerId id);
+  EventLoop* loop() override { return loop_; }
+  const CallerLimits& limits() const override { return limits_; }
+  bool closes_after_responses() const override {
+    return closes_after_responses_;
+  }
+  bool MayPipeline(const ReceivedMessage& request) override;
+  ExchangeId NewExchange(CallerConnection* connection) override;
+  void Handle(ExchangeId id, ReceivedMessage request) override;
+  void Close(CallerConnection* connection) override;
 
   EventLoop* loop_;
   Callbacks callbacks_;
   CallerLimits limits_;
   evconnlistener* listener_ = nullptr;
-  CallerId next_id_ = 1;
-  std::unordered_map<CallerId, std::unique_ptr<Connection>> connections_;
-  size_t open_requests_ = 0;
+  ExchangeId next_id_ = 1;
+  std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>>
+      connections_;
+  // Exchanges without a response.
+  std::unordered_map<ExchangeId, CallerConnection*> exchanges_;
   bool closes_after_responses_ = false;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,11 +45,14 @@
       registration_(loop, &store_, std::string(kVmPrefix) + settings_.self.vm,
                     FormatFleetVm(settings_.self)) {
   FrontServer::Callbacks callbacks;
-  callbacks.on_request = [this](CallerId caller, ReceivedMessage request) {
-    forwarder_->Handle(caller, std::move(request));
+  callbacks.on_request = [this](ExchangeId id, ReceivedMessage request) {
+    forwarder_->Handle(id, std::move(request));
   };
-  callbacks.on_disconnected = [this](CallerId caller) {
-    forwarder_->OnCallerDisconnected(caller);
+  callbacks.on_disconnected = [this](ExchangeId id) {
+    forwarder_->OnCallerDisconnected(id);
+  };
+  callbacks.may_pipeline = [this](const ReceivedMessage& request) {
+    return forwarder_->MayPipeline(request);
   };
   front_ = std::make_unique<FrontServer>(loop, std::move(callbacks));
   ForwarderDependencies deps;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/time.h"
 #include "http/body.h"
 #include "net/http_message.h"
 
@@ -25,6 +26,8 @@
   // False for a response whose body is delimited by the close of its
   // connection.
   bool is_self_delimited = true;
+  // Requests: when the last byte was read. Set by the receiver.
+  TimePoint received_at{};
 };
 
 // Maximum sizes of a message. Zero means no limit.
