Learn from instances for how long a connection may rest

Idle connections were closed after 4 s and reused by non-idempotent requests within 1 s, although instances keep them for 10 s. A VM of races sends 2 to 60 requests a second to 174 instances, so most requests found no connection. IdleLimits takes what an instance advertises, the rests that connections survived and those after which they were closed, and keeps a margin. A connection is tested for an unread close before reuse. After a loss on a reused connection the former limits hold for 20 s. Idempotent requests take the oldest usable connection, so that recent ones remain for the others.

Openings are counted by reason.

--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -74,10 +74,11 @@
 }
 
 void Metrics::AddGauge(const std::string& name, const std::string& help,
-                       std::function<double()> read) {
+                       std::function<double()> read,
+                       const std::map<std::string, std::string>& labels) {
   prometheus::Gauge& gauge =
       prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(
-          {});
+          labels);
   gauges_.emplace_back(&gauge, std::move(read));
 }
 
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -37,8 +37,10 @@
 
   // Registers a gauge whose value `read` supplies at each collection. Names of
   // values that only increase end in `_total`.
+  // Gauges of one name differ in their labels.
   void AddGauge(const std::string& name, const std::string& help,
-                std::function<double()> read);
+                std::function<double()> read,
+                const std::map<std::string, std::string>& labels = {});
 
   std::string Collect();
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -94,16 +94,7 @@
                     "Requests for store changes sent to the store because the "
                     "relay VM gave no usable reply",
                     [this] { return double(store_.counters().fallbacks); });
-  metrics_.AddGauge("rwf_upstream_connections_opened_total",
-                    "Connections opened to upstreams",
-                    [this] { return double(pool_.counters().opened); });
-  metrics_.AddGauge("rwf_upstream_connections_reused_total",
-                    "Requests sent on a reused connection",
-                    [this] { return double(pool_.counters().reused); });
-  metrics_.AddGauge(
-      "rwf_upstream_unidentified_responses_total",
-      "Responses on reused connections that name no request",
-      [this] { return double(pool_.counters().unidentified_responses); });
+  pool_.AddMetrics(&metrics_);
   metrics_.AddGauge("rwf_open_requests", "Requests in progress",
                     [this] { return double(forwarder_->active_requests()); });
   metrics_.AddGauge("rwf_caller_connections", "Open connections of callers",
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -14,8 +14,9 @@
 namespace {
 
 constexpr Duration kSweepInterval = std::chrono::milliseconds(500);
-// Safety margin before the idle timeout that an instance advertises.
-constexpr Duration kIdleMargin = std::chrono::seconds(1);
+// A reused connection that breaks this soon without a response was closed by
+// the instance before the request arrived: a few round trips between regions.
+constexpr Duration kStaleBreakTime = std::chrono::milliseconds(150);
 
 // Returns the seconds of "timeout=N" in a Keep-Alive field, or zero.
 Duration AdvertisedIdleTimeout(const HttpHeaders& headers) {
@@ -34,8 +35,25 @@
   return ec == ETIMEDOUT || ec == EHOSTUNREACH || ec == ENETUNREACH;
 }
 
+// True if the instance has closed an idle connection, or sent something on it,
+// that the loop has not read yet.
+bool HasUnreadInput(bufferevent* bev) {
+  char c = 0;
+  const ssize_t n =
+      recv(bufferevent_getfd(bev), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace
 
+const char* OpenReasonName(OpenReason reason) {
+  static constexpr std::array<const char*,
+                              static_cast<size_t>(OpenReason::kCount)>
+      kNames = {"first",    "busy",   "too-old",   "expired", "closed",
+                "not-kept", "failed", "cancelled", "probe"};
+  return kNames[static_cast<size_t>(reason)];
+}
+
 UpstreamPool::Connection::~Connection() {
   if (bev != nullptr) bufferevent_free(bev);
 }
@@ -46,6 +64,25 @@
 
 UpstreamPool::~UpstreamPool() = default;
 
+void UpstreamPool::AddMetrics(Metrics* metrics) const {
+  metrics->AddGauge("rwf_upstream_connections_opened_total",
+                    "Connections opened to upstreams",
+                    [this] { return double(counters_.opened); });
+  for (size_t n = 0; n < counters_.opened_by.size(); ++n) {
+    metrics->AddGauge("rwf_upstream_connections_opened_by_reason_total",
+                      "Connections opened to upstreams, by the reason",
+                      [this, n] { return double(counters_.opened_by[n]); },
+                      {{"reason", OpenReasonName(static_cast<OpenReason>(n))}});
+  }
+  metrics->AddGauge("rwf_upstream_connections_reused_total",
+                    "Requests sent on a reused connection",
+                    [this] { return double(counters_.reused); });
+  metrics->AddGauge(
+      "rwf_upstream_unidentified_responses_total",
+      "Responses on reused connections that name no request",
+      [this] { return double(counters_.unidentified_responses); });
+}
+
 UpstreamPool::SendId UpstreamPool::Send(const UpstreamTarget& target,
                                         Request request, Callback callback) {
   // Without an id, a response cannot be told from one to an earlier request.
@@ -54,7 +91,7 @@
                        : TakeIdle(target, request.is_idempotent);
   const SendId id = next_id_++;
   const bool is_open = it != nullptr;
-  if (!is_open) it = Open(target);
+  if (!is_open) it = Open(target, ReasonToOpen(target));
   it->send_id = id;
   it->request = std::move(request);
   it->callback = std::move(callback);
@@ -68,25 +105,38 @@
 
 UpstreamPool::Connection* UpstreamPool::TakeIdle(const UpstreamTarget& target,
                                                  bool is_idempotent) {
-  const auto found = idle_.find(target.instance);
-  if (found == idle_.end()) return nullptr;
+  const auto found = instances_.find(target.instance);
+  if (found == instances_.end()) return nullptr;
   const TimePoint now = EventLoop::Now();
-  std::vector<Connection*>& idle_list = found->second;
-  // The most recently used connection is last.
-  for (size_t n = idle_list.size(); n > 0; --n) {
-    Connection* it = idle_list[n - 1];
-    const Duration idle = now - it->idle_since;
-    const Duration limit =
-        is_idempotent ? it->idle_limit
-                      : std::min(it->idle_limit, kMaxIdleForNonIdempotent);
-    if (!(it->target == target) || idle > limit) continue;
-    idle_list.erase(idle_list.begin() + static_cast<ptrdiff_t>(n) - 1);
+  // Idempotent requests take the connection that rested longest, so that recent
+  // ones remain for the others.
+  std::vector<Connection*> candidates = found->second.idle;
+  if (!is_idempotent) std::reverse(candidates.begin(), candidates.end());
+  for (Connection* it : candidates) {
+    if (!(it->target == target)) continue;
+    const Duration limit = idle_limits_.ReuseLimit(
+        target.instance, it->advertised_idle, is_idempotent, now);
+    if (now - it->idle_since > limit) continue;
+    if (HasUnreadInput(it->bev)) {
+      OnIdleClosed(it);
+      continue;
+    }
+    std::erase(found->second.idle, it);
     return it;
   }
   return nullptr;
 }
 
-UpstreamPool::Connection* UpstreamPool::Open(const UpstreamTarget& target) {
+OpenReason UpstreamPool::ReasonToOpen(const UpstreamTarget& target) const {
+  const auto found = instances_.find(target.instance);
+  if (found == instances_.end()) return OpenReason::kFirst;
+  const InstanceConnections& it = found->second;
+  if (!it.idle.empty()) return OpenReason::kTooOld;
+  return it.open > 0 ? OpenReason::kBusy : it.last_end;
+}
+
+UpstreamPool::Connection* UpstreamPool::Open(const UpstreamTarget& target,
+                                             OpenReason reason) {
   auto owned = std::make_unique<Connection>();
   Connection* it = owned.get();
   it->pool = this;
@@ -99,7 +149,11 @@
   to.sin_port = htons(target.port);
   inet_pton(AF_INET, target.address.c_str(), &to.sin_addr);
   connections_.emplace(it, std::move(owned));
+  InstanceConnections& instance = instances_[target.instance];
+  ++instance.open;
+  instance.is_removed = false;
   ++counters_.opened;
+  ++counters_.opened_by[static_cast<size_t>(reason)];
   it->connect_timer =
       loop_->After(kConnectTimeout, [this, it] { OnConnectFailed(it, false); });
   if (bufferevent_socket_connect(it->bev, reinterpret_cast<sockaddr*>(&to),
@@ -117,7 +171,7 @@
 }
 
 void UpstreamPool::Probe(const UpstreamTarget& target, ProbeCallback callback) {
-  Open(target)->probe_callback = std::move(callback);
+  Open(target, OpenReason::kProbe)->probe_callback = std::move(callback);
 }
 
 void UpstreamPool::OnConnectFailed(Connection* it, bool is_refused) {
@@ -127,12 +181,13 @@
     return;
   }
   const ProbeCallback callback = std::move(it->probe_callback);
-  EraseConnection(it);
+  EraseConnection(it, OpenReason::kFailed);
   callback(is_refused);
 }
 
 void UpstreamPool::Write(Connection* it) {
   it->state = State::kBusy;
+  it->sent_at = EventLoop::Now();
   it->parser.Reset(it->request.is_head);
   bufferevent_enable(it->bev, EV_READ | EV_WRITE);
   evbuffer* out = bufferevent_get_output(it->bev);
@@ -146,7 +201,7 @@
   auto* it = static_cast<Connection*>(arg);
   // Bytes on an idle connection do not belong to any request.
   if (it->state != State::kBusy) {
-    it->pool->Remove(it);
+    it->pool->OnIdleClosed(it);
     return;
   }
   UpstreamPool* pool = it->pool;
@@ -170,8 +225,12 @@
   }
 }
 
-void UpstreamPool::EraseConnection(Connection* it) {
+void UpstreamPool::EraseConnection(Connection* it, OpenReason end) {
   SetBuffered(it, 0);
+  const auto found = instances_.find(it->target.instance);
+  InstanceConnections& instance = found->second;
+  instance.last_end = end;
+  if (--instance.open == 0 && instance.is_removed) instances_.erase(found);
   connections_.erase(it);
 }
 
@@ -234,8 +293,7 @@
                            !it->has_mismatched_response;
     const bool was_used = it->was_used;
     const Duration advertised = AdvertisedIdleTimeout(response.headers);
-    if (advertised > Duration::zero())
-      it->idle_limit = std::min(kIdleTimeout, advertised - kIdleMargin);
+    if (advertised > Duration::zero()) it->advertised_idle = advertised;
     Complete(it, {SendOutcome::kResponded, std::move(response), was_used, true},
              keep_open);
     return;
@@ -254,7 +312,7 @@
     const ProbeCallback callback = std::move(it->probe_callback);
     it->probe_callback = nullptr;
     bufferevent_enable(it->bev, EV_READ | EV_WRITE);
-    pool->KeepOrErase(it, true);
+    pool->KeepOrErase(it, true, OpenReason::kNotKept);
     callback(false);
     return;
   }
@@ -263,7 +321,7 @@
       pool->OnConnectFailed(it, !IsSilence(EVUTIL_SOCKET_ERROR()));
       return;
     case State::kIdle:
-      pool->Remove(it);
+      pool->OnIdleClosed(it);
       return;
     case State::kBusy:
       break;
@@ -283,6 +341,10 @@
       return;
     }
   }
+  const TimePoint now = EventLoop::Now();
+  if (it->was_used && !has_begun && now - it->sent_at < kStaleBreakTime)
+    pool->idle_limits_.OnLost(it->target.instance, it->sent_at - it->idle_since,
+                              now);
   pool->Complete(
       it, {SendOutcome::kBroken, {}, it->was_used, has_begun, was_silent},
       false);
@@ -294,21 +356,22 @@
   busy_.erase(it->send_id);
   it->send_id = 0;
   it->callback = nullptr;
-  KeepOrErase(it, keep_open);
+  KeepOrErase(it, keep_open,
+              result.outcome == SendOutcome::kResponded ? OpenReason::kNotKept
+                                                        : OpenReason::kFailed);
   callback(result);
 }
 
-void UpstreamPool::KeepOrErase(Connection* it, bool keep_open) {
-  std::vector<Connection*>& idle_list = idle_[it->target.instance];
-  if (keep_open && idle_list.size() < kMaxIdlePerInstance &&
-      it->idle_limit > Duration::zero()) {
-    it->state = State::kIdle;
-    it->was_used = true;
-    it->idle_since = EventLoop::Now();
-    idle_list.push_back(it);
-  } else {
-    EraseConnection(it);
+void UpstreamPool::KeepOrErase(Connection* it, bool keep_open, OpenReason end) {
+  std::vector<Connection*>& idle = instances_[it->target.instance].idle;
+  if (!keep_open || idle.size() >= kMaxIdlePerInstance) {
+    EraseConnection(it, end);
+    return;
   }
+  it->state = State::kIdle;
+  it->was_used = true;
+  it->idle_since = EventLoop::Now();
+  idle.push_back(it);
 }
 
 void UpstreamPool::Cancel(SendId id) {
@@ -316,32 +379,50 @@
   if (it == busy_.end()) return;
   Connection* connection = it->second;
   busy_.erase(it);
-  EraseConnection(connection);
+  EraseConnection(connection, OpenReason::kCancelled);
 }
 
-void UpstreamPool::Remove(Connection* it) {
-  std::erase(idle_[it->target.instance], it);
-  EraseConnection(it);
+void UpstreamPool::Remove(Connection* it, OpenReason end) {
+  std::erase(instances_[it->target.instance].idle, it);
+  EraseConnection(it, end);
+}
+
+void UpstreamPool::OnIdleClosed(Connection* it) {
+  const TimePoint now = EventLoop::Now();
+  idle_limits_.OnClosed(it->target.instance, now - it->idle_since, now);
+  Remove(it, OpenReason::kClosed);
 }
 
 void UpstreamPool::CloseIdleConnections(const std::string& instance) {
-  const auto it = idle_.find(instance);
-  if (it == idle_.end()) return;
-  const std::vector<Connection*> idle_list = std::move(it->second);
-  idle_.erase(it);
-  for (Connection* connection : idle_list) EraseConnection(connection);
+  idle_limits_.Forget(instance);
+  const auto it = instances_.find(instance);
+  if (it == instances_.end()) return;
+  const std::vector<Connection*> idle = std::move(it->second.idle);
+  it->second.idle.clear();
+  if (it->second.open == 0) {
+    instances_.erase(it);
+    return;
+  }
+  it->second.is_removed = true;
+  for (Connection* connection : idle)
+    EraseConnection(connection, OpenReason::kExpired);
 }
 
 void UpstreamPool::CloseExpired() {
   const TimePoint now = EventLoop::Now();
+  idle_limits_.Tick(now);
   std::vector<Connection*> expired;
-  for (const auto& [instance, idle_list] : idle_) {
-    for (Connection* it : idle_list) {
-      if (now - it->idle_since > it->idle_limit) expired.push_back(it);
+  for (const auto& [instance, connections] : instances_) {
+    for (Connection* it : connections.idle) {
+      const Duration idle = now - it->idle_since;
+      if (idle > idle_limits_.KeepLimit(instance, it->advertised_idle, now)) {
+        expired.push_back(it);
+      } else {
+        idle_limits_.OnSurvived(instance, idle);
+      }
     }
   }
-  for (Connection* it : expired) Remove(it);
-  std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+  for (Connection* it : expired) Remove(it, OpenReason::kExpired);
 }
 
 }  // namespace rwf
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,6 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "entry/metrics.h"
+#include "gateway/idle_limits.h"
 #include "http/parser.h"
 #include "net/event_loop.h"
 
@@ -41,6 +44,21 @@
   bool was_silent = false;  // the host did not acknowledge what was sent
 };
 
+// Why a new connection was opened.
+enum class OpenReason : uint8_t {
+  kFirst,      // there was none to the instance
+  kBusy,       // all connections to it serve other requests
+  kTooOld,     // its idle connections rested too long for the request
+  kExpired,    // this VM closed the last idle one
+  kClosed,     // the instance closed the last idle one
+  kNotKept,    // the instance closed the last one with its response
+  kFailed,     // the last one failed to connect or broke
+  kCancelled,  // the request on the last one was cancelled
+  kProbe,      // it tests whether the instance listens
+  kCount,
+};
+const char* OpenReasonName(OpenReason reason);
+
 // Pool of connections to instances, each with one request at a time and kept
 // open for reuse. Uses bufferevents instead of evhttp, which would take any
 // next response on a connection as the one to the current request and does not
@@ -52,13 +70,6 @@
   using ProbeCallback = std::function<void(bool is_refused)>;
 
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
-  // An idle connection is not reused after this time, or one second before the
-  // idle timeout that the instance advertises.
-  static constexpr Duration kIdleTimeout = std::chrono::milliseconds(4000);
-  // A non-idempotent request reuses only a connection that was used this
-  // recently: the instance may close an older one at the same moment.
-  static constexpr Duration kMaxIdleForNonIdempotent =
-      std::chrono::milliseconds(1000);
   // TCP user timeout. If bytes stay unacknowledged for this long, the instance
   // or its network has failed.
   static constexpr unsigned kUserTimeoutMs = 2000;
@@ -80,6 +91,8 @@
 
   struct Counters {
     uint64_t opened = 0;
+    // `opened` by the reason.
+    std::array<uint64_t, static_cast<size_t>(OpenReason::kCount)> opened_by{};
     uint64_t reused = 0;
     uint64_t connect_failures = 0;
     uint64_t mismatched_responses = 0;    // responses to earlier requests
@@ -91,6 +104,9 @@
   UpstreamPool& operator=(const UpstreamPool&) = delete;
   ~UpstreamPool();
 
+  // Registers the counters below.
+  void AddMetrics(Metrics* metrics) const;
+
   // Calls back exactly once, from the loop, unless cancelled. Only connecting
   // has a timeout; for anything else the sender calls Cancel.
   SendId Send(const UpstreamTarget& target, Request request, Callback callback);
@@ -124,19 +140,30 @@
     // A response to an earlier request arrived, so the connection is closed
     // after the current request.
     bool has_mismatched_response = false;
+    TimePoint sent_at{};
     TimePoint idle_since{};
-    Duration idle_limit = kIdleTimeout;
+    Duration advertised_idle{};  // idle timeout that the instance named
     std::unique_ptr<Timer> connect_timer;
     ~Connection();
   };
+  struct InstanceConnections {
+    std::vector<Connection*> idle;  // by the start of the rest
+    size_t open = 0;                // including idle ones
+    // Why the connection that ended last is not available.
+    OpenReason last_end = OpenReason::kFirst;
+    bool is_removed = false;  // the instance is draining or removed
+  };
   static void HandleRead(bufferevent*, void* arg);
   static void HandleEvent(bufferevent*, short what, void* arg);
 
   Connection* TakeIdle(const UpstreamTarget& target, bool is_idempotent);
-  Connection* Open(const UpstreamTarget& target);
+  // Returns why a request opens a connection although it may reuse one.
+  OpenReason ReasonToOpen(const UpstreamTarget& target) const;
+  Connection* Open(const UpstreamTarget& target, OpenReason reason);
   void OnConnectFailed(Connection* it, bool is_refused);
-  // Makes a connection idle, or closes it if it may not be reused.
-  void KeepOrErase(Connection* it, bool keep_open);
+  // Makes a connection idle, or closes it for the reason `end` if it may not be
+  // reused.
+  void KeepOrErase(Connection* it, bool keep_open, OpenReason end);
   void Write(Connection* it);
   void ReadResponse(Connection* it);
   enum class ResponseOrigin : uint8_t {
@@ -147,8 +174,11 @@
   static ResponseOrigin OriginOf(const Connection& it,
                                  const ReceivedMessage& response);
   void Complete(Connection* it, const SendResult& result, bool keep_open);
-  void Remove(Connection* it);
-  void EraseConnection(Connection* it);
+  // Closes an idle connection.
+  void Remove(Connection* it, OpenReason end);
+  // The instance closed an idle connection, or sent what belongs to no request.
+  void OnIdleClosed(Connection* it);
+  void EraseConnection(Connection* it, OpenReason end);
   void SetBuffered(Connection* it, size_t bytes);
   // Gives up the largest incomplete responses above kMaxBufferedBytes.
   void LimitBufferedBytes();
@@ -158,7 +188,8 @@
   SendId next_id_ = 1;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<SendId, Connection*> busy_;
-  std::map<std::string, std::vector<Connection*>> idle_;
+  std::map<std::string, InstanceConnections> instances_;
+  IdleLimits idle_limits_;
   std::unique_ptr<Timer> timer_;
   size_t buffered_bytes_ = 0;
   Counters counters_;
