Bound Retry-After of the admission queue as placement does

A delay of up to 2 s left callers with deadlines of 2 to 4 s no time for their retry. The bound is 1.2 s now, as for other refusals.

--- a/src/traffic/admission_queue.cc
+++ b/src/traffic/admission_queue.cc
@@ -37,6 +37,7 @@
   }
   for (const Entry& it : service.entries) ++wanted[it.request.workspace];
   std::vector<double> sorted;
+  sorted.reserve(wanted.size());
   for (const auto& [workspace, n] : wanted) sorted.push_back(n);
   std::sort(sorted.begin(), sorted.end());
   // Workspaces that want less than an even part leave the rest to the others.
--- a/src/traffic/admission_queue.h
+++ b/src/traffic/admission_queue.h
@@ -39,8 +39,10 @@
   // Fraction by which a run may exceed its expected time without passing the
   // timeout, after which its slot was used for nothing.
   static constexpr double kRunMargin = 0.15;
+  // Bounds of the delay of a refusal, as placement has them: a caller that is
+  // told a longer one often has no time left for its retry.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
-  static constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+  static constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1200);
 
   struct Refusal {
     uint64_t id = 0;
--- a/tests/traffic/admission_queue_test.cc
+++ b/tests/traffic/admission_queue_test.cc
@@ -237,6 +237,7 @@
 // Nine workspaces and a tenth that sends six times as much in the peak.
 std::vector<Source> OneBusyWorkspace() {
   std::vector<Source> out;
+  out.reserve(10);
   for (int n = 0; n < 10; ++n) {
     out.push_back({.workspace = "w" + std::to_string(n),
                    .per_second = 6,
