Let requests without capacity wait at their VM

A request without an instance was refused at once even where a slot becomes free within its objective or timeout. ShortageControl offers it to the admission queue, starts waiting requests when attempts end or reports show free capacity, and refuses them "not run" at their latest start or in a planned stop; a caller that leaves cancels its request. It applies only where the service reports its load, its region is above the load at which it counts as full, and run times are measured. A new request no longer takes a slot before those that wait.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -39,6 +39,11 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+template <typename Exchange>
+std::string WorkspaceOf(const Exchange& it) {
+  return it.workspace == nullptr ? "" : it.workspace->name;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -53,7 +58,13 @@
 }
 
 Forwarder::Forwarder(ForwarderDependencies deps)
-    : deps_(std::move(deps)), prober_(deps_.loop, deps_.pool) {
+    : deps_(std::move(deps)),
+      prober_(deps_.loop, deps_.pool),
+      shortage_(
+          deps_.loop, deps_.registry, deps_.placement,
+          {[this](CallerId it) { return StartWaiting(it); },
+           [this](CallerId it, Duration after) { RefuseWaiting(it, after); }}) {
+  shortage_.AddMetrics(deps_.metrics);
   prober_.signal_ended.connect([this](const std::string& process) {
     deps_.crashes->OnInstanceEnded(process, EventLoop::Now());
   });
@@ -95,12 +106,45 @@
     return;
   }
   if (!CheckCrashSuspicion(it, now)) return;
+  shortage_.StartWaiting(it->placement_request.service, now);
   Duration retry_after{};
   const char* reason = "";
-  if (!TrySend(it, &retry_after, &reason))
+  if (!TrySend(it, &retry_after, &reason) && !Wait(it, &retry_after))
     Refuse(it, {503, reason, retry_after});
 }
 
+bool Forwarder::Wait(Exchange* it, Duration* retry_after) {
+  return it->may_wait && stop_at_ == TimePoint::max() && !is_stopping_ &&
+         shortage_.Offer(it->caller, WorkspaceOf(*it), it->placement_request,
+                         it->arrived_at, it->deadline, retry_after);
+}
+
+bool Forwarder::StartWaiting(CallerId caller) {
+  const auto found = exchanges_.find(caller);
+  if (found == exchanges_.end()) return false;
+  Duration retry_after{};
+  const char* reason = "";
+  return TrySend(found->second.get(), &retry_after, &reason);
+}
+
+void Forwarder::RefuseWaiting(CallerId caller, Duration retry_after) {
+  const auto found = exchanges_.find(caller);
+  if (found == exchanges_.end()) return;
+  const bool is_stopping = is_stopping_ || stop_at_ != TimePoint::max();
+  Refuse(found->second.get(),
+         {503, is_stopping ? "stopping" : "overloaded", retry_after});
+}
+
+void Forwarder::StopAdmitting() {
+  is_stopping_ = true;
+  shortage_.RefuseAll();
+}
+
+void Forwarder::SetStopTime(TimePoint stop_at) {
+  stop_at_ = stop_at;
+  shortage_.RefuseAll();
+}
+
 bool Forwarder::FindRoute(Exchange* it) {
   it->route = it->catalog->FindRoute(it->request.headers.Get("Host"),
                                      PathOf(it->request.target));
@@ -242,6 +286,9 @@
       deps_.placement->Choose(it->placement_request, cold_rate, vm_count, now);
   if (choice.instance == nullptr) {
     *retry_after = choice.retry_after;
+    // A waiting request is tried often, and was counted on arrival.
+    if (shortage_.IsWaiting(it->caller)) return false;
+    it->may_wait = shortage_.MayWait(it->placement_request, choice, now);
     deps_.metrics->CountRefusedPlacement(RefusalCauseName(choice));
     LogRefusedPlacement(deps_.log, it->request_id, it->placement_request,
                         choice);
@@ -251,6 +298,9 @@
   }
   deps_.placement->OnSent(it->placement_request, choice, cold_rate, vm_count,
                           now);
+  shortage_.OnSent(it->caller, it->placement_request.service, WorkspaceOf(*it),
+                   now);
+  it->may_wait = false;
   const InstanceInfo& info = choice.instance->info();
   Attempt attempt;
   attempt.id = next_attempt_id_++;
@@ -490,11 +540,13 @@
       it->connect_failures < kMaxConnectFailures && now < it->deadline;
   Duration retry_after{};
   const char* reason = "overloaded";
+  it->may_wait = false;
   if (may_retry && (it->send_count == 0 || TakeRetryBudget(*it, now)) &&
       TrySend(it, &retry_after, &reason)) {
     deps_.metrics->CountRetry();
     return;
   }
+  if (may_retry && !it->may_have_run && Wait(it, &retry_after)) return;
   if (outcome == AttemptOutcome::kInstanceError &&
       !IsNotRunStatus(result.response.status)) {
     Respond(it, result.response, "");
@@ -546,6 +598,7 @@
                               TimePoint now) {
   InstanceState* state = deps_.registry->Find(attempt.instance);
   if (state != nullptr) state->OnEnded(attempt.id, outcome, now);
+  shortage_.OnEnded(it.placement_request.service, outcome, now);
   const std::string process =
       ProcessName(attempt.instance, attempt.instance_started_ms);
   deps_.crashes->OnRunEnded(process, it.fingerprint, attempt.started_at,
@@ -615,7 +668,7 @@
       .Text("result", result)
       .Number("status", status)
       .Text("route", it->route == nullptr ? "" : it->route->name)
-      .Text("workspace", it->workspace == nullptr ? "" : it->workspace->name)
+      .Text("workspace", WorkspaceOf(*it))
       .Text("instance", instance)
       .Number("sends", it->send_count)
       .Number("object",
@@ -634,6 +687,7 @@
     limit_tickets_.erase(it->limit_ticket);
   }
   const CallerId caller = it->caller;
+  shortage_.Cancel(caller);
   exchanges_.erase(caller);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "gateway/header_names.h"
 #include "gateway/instance_prober.h"
 #include "gateway/notice_decoder.h"
+#include "gateway/shortage_control.h"
 #include "gateway/upstream_pool.h"
 #include "traffic/attempt_budget.h"
 #include "traffic/catalog.h"
@@ -104,9 +105,10 @@
   void OnLimitDecided(const WorkspaceLimiter::Decision& decision);
   // Refuses all further requests with a status that tells callers the request
   // did not run.
-  void StopAdmitting() { is_stopping_ = true; }
+  void StopAdmitting();
   // From now on, refuses requests that may last beyond this time.
-  void SetStopTime(TimePoint stop_at) { stop_at_ = stop_at; }
+  // Requests that wait for capacity are refused at once.
+  void SetStopTime(TimePoint stop_at);
   // Mean rate of caller requests per second.
   double RequestsPerSecond(TimePoint now) const {
     return arrivals_.PerSecond(now);
@@ -150,6 +152,7 @@
     int connect_failures = 0;
     bool may_have_run = false;
     bool caller_disconnected = false;
+    bool may_wait = false;  // no instance had capacity in the last TrySend()
     std::vector<Attempt> attempts;
     Attempt last_attempt;  // the most recently finished attempt
     std::unique_ptr<Timer> deadline_timer;
@@ -178,6 +181,10 @@
   // Chooses an instance and sends an attempt to it. Returns false if no
   // instance can take the request.
   bool TrySend(Exchange* it, Duration* retry_after, const char** reason);
+  // Lets a request that TrySend() found no capacity for wait, if that pays.
+  bool Wait(Exchange* it, Duration* retry_after);
+  bool StartWaiting(CallerId caller);
+  void RefuseWaiting(CallerId caller, Duration retry_after);
   std::string RequestHead(const Exchange& it, const std::string& instance,
                           Duration left) const;
   static ServiceTimeModel::Warmth WarmthOf(const Exchange& it,
@@ -211,6 +218,7 @@
 
   ForwarderDependencies deps_;
   InstanceProber prober_;
+  ShortageControl shortage_;
   std::shared_ptr<const Catalog> catalog_;
   BackendPicker backend_picker_;
   // Longest deadline seen from the callers of each route.
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -971,5 +971,95 @@
   close(fds[0]);
 }
 
+// The only instance has answered ten requests and then reports a load.
+class ShortageFixture : public DataPathFixture {
+ protected:
+  ShortageFixture() {
+    AddInstance("i1", instance.port);
+    for (int n = 0; n < 10; ++n)
+      CHECK(SendRequest(RequestText("/once/x", "w")).status == 200);
+  }
+  // Sends one request whose response reports the load.
+  void Report(const std::string& load) {
+    reported = load;
+    CHECK(SendRequest(RequestText("/once/x", "r")).status == 200);
+    reported = "0,0,6";
+    // Placement keeps the load of the region for a moment.
+    const auto end =
+        loop.After(Placement::kLoadCacheInterval * 2, [this] { loop.Stop(); });
+    loop.Run();
+    sent = instance.requests;
+    now = EventLoop::Now();
+  }
+  Duration Elapsed() const { return EventLoop::Now() - now; }
+
+  std::string reported;
+  ScriptedInstance instance{&loop, [this](const std::string& request) {
+                              std::string out = FullResponse(request);
+                              if (!reported.empty())
+                                out.insert(
+                                    out.find("\r\n") + 2,
+                                    "X-Server-Load: " + reported + "\r\n");
+                              return out;
+                            }};
+  int sent = 0;
+  TimePoint now{};
+};
+
+// Guards against refusing a request that a slot becomes free for in time. The
+// estimate of the load falls below the instance's bound within 0.1 s.
+TEST_CASE_FIXTURE(ShortageFixture, "Shortage, slot expected in time, waits") {
+  Report("20,0,6");
+  CHECK(SendRequest(RequestText("/once/x", "a")).status == 200);
+  CHECK(Elapsed() >= std::chrono::milliseconds(40));
+  CHECK(instance.requests == sent + 1);
+}
+
+// Guards against holding a request until its deadline.
+TEST_CASE_FIXTURE(ShortageFixture,
+                  "Shortage, latest start passed, refuses as not run") {
+  Report("60,0,6");
+  const ReceivedMessage it = SendRequest(RequestText("/once/x", "a"));
+  CHECK(it.status == 503);
+  CHECK(it.headers.Has("Retry-After"));
+  CHECK(Elapsed() >= std::chrono::milliseconds(400));
+  CHECK(Elapsed() < std::chrono::milliseconds(880));
+  CHECK(instance.requests == sent);
+}
+
+// Guards against running a request for a caller that has left.
+TEST_CASE_FIXTURE(ShortageFixture, "Shortage, caller leaves, sends nothing") {
+  Report("30,0,6");
+  SendRequest(RequestText("/once/x", "a"), /*disconnects_early=*/true);
+  const auto end =
+      loop.After(std::chrono::milliseconds(900), [this] { loop.Stop(); });
+  loop.Run();
+  CHECK(forwarder->active_requests() == 0);
+  CHECK(instance.requests == sent);
+}
+
+// Guards against a planned stop that waits for capacity.
+TEST_CASE_FIXTURE(ShortageFixture, "Shortage, planned stop, refuses at once") {
+  Report("60,0,6");
+  const auto stop = loop.After(std::chrono::milliseconds(50), [this] {
+    forwarder->SetStopTime(EventLoop::Now() + std::chrono::seconds(1));
+  });
+  CHECK(SendRequest(RequestText("/once/x", "a")).status == 503);
+  CHECK(Elapsed() < std::chrono::milliseconds(300));
+  CHECK(SendRequest(RequestText("/once/x", "b")).status == 503);
+  CHECK(Elapsed() < std::chrono::milliseconds(400));
+  CHECK(instance.requests == sent);
+}
+
+// Guards against waiting where the service does not report its load.
+TEST_CASE_FIXTURE(ShortageFixture, "Shortage, no reports, refuses at once") {
+  sent = instance.requests;
+  now = EventLoop::Now();
+  placement.SetPeerLoads({{{"s", "r"}, 100}}, now);
+  CHECK(SendRequest(RequestText("/once/x", "a")).status == 503);
+  CHECK(Elapsed() < std::chrono::milliseconds(200));
+  CHECK(instance.requests == sent);
+}
+
 }  // namespace
 }  // namespace rwf
