--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -230,7 +230,10 @@
   const auto found = instances_.find(it->target.instance);
   InstanceConnections& instance = found->second;
   instance.last_end = end;
-  if (--instance.open == 0 && instance.is_removed) instances_.erase(found);
+  if (--instance.open == 0 && instance.is_removed) {
+    idle_limits_.Forget(found->first);
+    instances_.erase(found);
+  }
   connections_.erase(it);
 }
 
