--- a/src/traffic/admission_queue.cc
+++ b/src/traffic/admission_queue.cc
@@ -26,25 +26,25 @@
   at = now;
 }
 
-double AdmissionQueue::FairLevel(const Service& service, TimePoint now) {
-  std::map<std::string, double> wanted;
+double AdmissionQueue::FairLevel(const Starts& starts, const Starts& waiting) {
   // The start that is about to be decided, and those of the last seconds.
   double shared = 1;
-  for (const auto& [workspace, it] : service.starts) {
-    const double n = it.At(now);
-    wanted[workspace] += n;
+  std::vector<double> wanted;
+  wanted.reserve(starts.size() + waiting.size());
+  for (const auto& [workspace, n] : starts) {
     shared += n;
+    const auto it = waiting.find(workspace);
+    wanted.push_back(n + (it == waiting.end() ? 0 : it->second));
   }
-  for (const Entry& it : service.entries) ++wanted[it.request.workspace];
-  std::vector<double> sorted;
-  sorted.reserve(wanted.size());
-  for (const auto& [workspace, n] : wanted) sorted.push_back(n);
-  std::sort(sorted.begin(), sorted.end());
+  for (const auto& [workspace, n] : waiting) {
+    if (!starts.contains(workspace)) wanted.push_back(n);
+  }
+  std::sort(wanted.begin(), wanted.end());
   // Workspaces that want less than an even part leave the rest to the others.
-  for (size_t n = 0; n < sorted.size(); ++n) {
-    const double even = shared / static_cast<double>(sorted.size() - n);
-    if (sorted[n] > even) return even;
-    shared -= sorted[n];
+  for (size_t n = 0; n < wanted.size(); ++n) {
+    const double even = shared / static_cast<double>(wanted.size() - n);
+    if (wanted[n] > even) return even;
+    shared -= wanted[n];
   }
   return std::numeric_limits<double>::max();
 }
@@ -54,27 +54,36 @@
   std::vector<const Entry*> out;
   out.reserve(service.entries.size());
   for (const Entry& it : service.entries) out.push_back(&it);
-  const auto by_latest_start = [](const Entry* it) {
-    return std::tuple(it->request.priority, it->is_late, it->latest_start,
-                      it->request.id);
-  };
-  std::sort(out.begin(), out.end(), [&](const Entry* a, const Entry* b) {
-    return by_latest_start(a) < by_latest_start(b);
+  if (out.size() < 2) return out;
+  std::sort(out.begin(), out.end(), [](const Entry* a, const Entry* b) {
+    return std::tuple(a->request.priority, a->is_late, a->latest_start,
+                      a->request.id) < std::tuple(b->request.priority,
+                                                  b->is_late, b->latest_start,
+                                                  b->request.id);
   });
-  const double level = FairLevel(service, now);
-  std::map<std::string, double> taken;
+  Starts starts;
   for (const auto& [workspace, it] : service.starts)
-    taken[workspace] = it.At(now);
-  std::map<const Entry*, bool> is_above;
-  for (const Entry* it : out) {
-    double& n = taken[it->request.workspace];
-    is_above[it] = n >= level;
+    starts[workspace] = it.At(now);
+  Starts waiting;
+  for (const Entry* it : out) ++waiting[it->request.workspace];
+  const double level = FairLevel(starts, waiting);
+  // Within a priority and lateness, requests of workspaces above the level
+  // follow all others.
+  std::vector<const Entry*> above;
+  auto placed = out.begin();
+  for (auto it = out.begin(); it != out.end(); ++it) {
+    const Entry* entry = *it;
+    double& n = starts[entry->request.workspace];
+    (n >= level ? above.emplace_back() : *placed++) = entry;
     ++n;
+    const auto next = it + 1;
+    if (next != out.end() &&
+        (*next)->request.priority == entry->request.priority &&
+        (*next)->is_late == entry->is_late)
+      continue;
+    placed = std::copy(above.begin(), above.end(), placed);
+    above.clear();
   }
-  std::stable_sort(out.begin(), out.end(), [&](const Entry* a, const Entry* b) {
-    return std::tuple(a->request.priority, a->is_late, is_above.at(a)) <
-           std::tuple(b->request.priority, b->is_late, is_above.at(b));
-  });
   return out;
 }
 
--- a/src/traffic/admission_queue.h
+++ b/src/traffic/admission_queue.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/time.h"
@@ -105,11 +107,14 @@
     TimePoint expected_back_at{};
   };
 
+  // Requests by workspace.
+  using Starts = std::unordered_map<std::string_view, double>;
+
   // Returns the entries in the order of their start.
   static std::vector<const Entry*> Ordered(const Service& service,
                                            TimePoint now);
   // Returns the max-min level of starts of a workspace.
-  static double FairLevel(const Service& service, TimePoint now);
+  static double FairLevel(const Starts& starts, const Starts& waiting);
   // Sets the latest start by the objective or, if the expected wait is too long
   // for that, by the deadline. Returns false if it is too long for both.
   static bool SetLatestStart(Service* service, Entry* entry, TimePoint now);
