Bound the memory and the connections of callers

Nothing bounded the sum of what a process buffers for slow callers: 60 bodies of 6 MB that stop one byte short took 353 MB. BufferAccount counts requests being read or kept, responses being received and responses not taken. Its limit is half of the new optional setting memory_mb. When memory is scarce, large bodies are not read further, and the holder with the largest product of bytes and time without progress is refused (503, not run) or closed. Receive buffers of callers are bounded, the number of their connections by the new setting max_descriptors, and accepting pauses when there are no descriptors. A block of a body that cannot be allocated no longer ends the process. The test of settings counts the two new ones among the optional members.

--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -36,6 +36,11 @@
                .Name("rwf_broken_runs_total")
                .Help("Runs whose connection broke, by what they were taken for")
                .Register(registry_)),
+      buffer_reclaims_(
+          &prometheus::BuildCounter()
+               .Name("rwf_buffer_reclaims_total")
+               .Help("Holders of buffered bytes that were given up, by cause")
+               .Register(registry_)),
       lookups_(&prometheus::BuildCounter()
                     .Name("rwf_lookups_total")
                     .Help("Look-ups served")
@@ -69,6 +74,10 @@
   broken_runs_->Add({{"verdict", verdict}}).Increment();
 }
 
+void Metrics::CountBufferReclaim(const std::string& cause) {
+  buffer_reclaims_->Add({{"cause", cause}}).Increment();
+}
+
 void Metrics::CountRefusedPlacement(const std::string& cause) {
   refused_placements_->Add({{"cause", cause}}).Increment();
 }
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -32,6 +32,8 @@
   // most of them.
   void CountRefusedPlacement(const std::string& cause);
 
+  // Counts buffered bytes that were given up, by what they were for.
+  void CountBufferReclaim(const std::string& cause);
   // Counts a run whose connection broke, by what it was taken for.
   void CountBrokenRun(const std::string& verdict);
 
@@ -49,6 +51,7 @@
   prometheus::Family<prometheus::Counter>* failures_;
   prometheus::Family<prometheus::Counter>* refused_placements_;
   prometheus::Family<prometheus::Counter>* broken_runs_;
+  prometheus::Family<prometheus::Counter>* buffer_reclaims_;
   prometheus::Counter* lookups_;
   prometheus::Counter* retries_;
   std::map<std::pair<std::string, std::string>, prometheus::Counter*>
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,9 +1,9 @@
 #include "gateway/caller_connection.h"
 
-#include <event2/buffer.h>
+#include <fmt/format.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#include <string>
 #include <string_view>
 #include <utility>
 
@@ -12,11 +12,17 @@
 CallerConnection::CallerConnection(Owner* owner, evutil_socket_t fd)
     : owner_(owner),
       bev_(bufferevent_socket_new(owner->loop()->base(), fd,
-                                  BEV_OPT_CLOSE_ON_FREE)) {
+                                  BEV_OPT_CLOSE_ON_FREE)),
+      input_holder_(owner->buffers(), BufferUse::kReceiving,
+                    [this] { ReclaimInput(); }),
+      output_holder_(owner->buffers(), BufferUse::kSending,
+                     [this] { owner_->Close(this); }) {
   bufferevent_setcb(bev_, &CallerConnection::HandleRead,
                     &CallerConnection::HandleWrite,
                     &CallerConnection::HandleEvent, this);
   bufferevent_setwatermark(bev_, EV_READ, 0, kMaxUnreadBytes);
+  evbuffer_add_cb(bufferevent_get_output(bev_), &CallerConnection::HandleOutput,
+                  this);
   UpdateReadTimeout();
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
 }
@@ -44,12 +50,44 @@
                            &stall);
 }
 
+void CallerConnection::CountInput() {
+  const TimePoint now = EventLoop::Now();
+  size_t n = evbuffer_get_length(input()) + unread_bytes_;
+  if (is_reading_) n += parser_.buffered_bytes();
+  if (held_) n += held_->buffered_bytes;
+  input_holder_.Set(n, now);
+}
+
+void CallerConnection::CountOutput() {
+  output_holder_.Set(OutputBytes() + queue_.waiting_bytes(), EventLoop::Now());
+}
+
+void CallerConnection::CountUnreadBytes() {
+  int n = 0;
+  const bool is_known = ioctl(bufferevent_getfd(bev_), FIONREAD, &n) == 0;
+  unread_bytes_ = is_known && n > 0 ? static_cast<size_t>(n) : 0;
+  CountInput();
+}
+
+void CallerConnection::HandleOutput(evbuffer*, const evbuffer_cb_info* info,
+                                    void* arg) {
+  if (info->n_deleted == 0) return;
+  auto* it = static_cast<CallerConnection*>(arg);
+  it->progress_at_ = EventLoop::Now();
+  it->output_holder_.OnProgress(it->progress_at_);
+  it->CountOutput();
+}
+
 void CallerConnection::HandleRead(bufferevent*, void* arg) {
-  static_cast<CallerConnection*>(arg)->ReadMore();
+  auto* it = static_cast<CallerConnection*>(arg);
+  it->progress_at_ = EventLoop::Now();
+  it->input_holder_.OnProgress(it->progress_at_);
+  it->unread_bytes_ = 0;
+  it->ReadMore();
 }
 
 bool CallerConnection::MayRead() const {
-  if (queue_.is_closed()) return false;
+  if (queue_.is_closed() || is_paused_) return false;
   if (is_reading_) return true;
   return queue_.MayStart(true) &&
          queue_.waiting_bytes() + OutputBytes() <= kMaxWaitingBytes;
@@ -80,6 +118,7 @@
     goes_on = MayRead() && evbuffer_get_length(input()) > 0 && ReadSome();
   }
   is_in_read_loop_ = false;
+  CountInput();
   UpdateReadTimeout();
 }
 
@@ -109,9 +148,18 @@
         Refuse(408);
       return true;
     }
-    case ParseState::kBody:
+    case ParseState::kBody: {
       if (!has_head_) OnHead();
+      CountInput();
+      const BufferAccount* buffers = owner_->buffers();
+      if (buffers != nullptr && buffers->is_scarce() &&
+          parser_.buffered_bytes() > BufferAccount::kSmallBodyBytes) {
+        is_paused_ = true;
+        bufferevent_disable(bev_, EV_READ);
+        owner_->OnPaused();
+      }
       return true;
+    }
     case ParseState::kComplete:
       OnMessage();
       return true;
@@ -124,6 +172,9 @@
     case ParseState::kMalformed:
       Refuse(400);
       return true;
+    case ParseState::kOutOfMemory:
+      ReclaimInput();
+      return true;
   }
   return false;
 }
@@ -150,6 +201,7 @@
   ReceivedMessage request = parser_.Take();
   is_reading_ = false;
   request.received_at = EventLoop::Now();
+  CountInput();
   if (queue_.empty() || queue_.MayStart(MayPipeline(request))) {
     Start(std::move(request));
   } else {
@@ -164,8 +216,7 @@
   owner_->Handle(id, std::move(request));
 }
 
-void CallerConnection::Refuse(int status) {
-  HttpHeaders headers;
+void CallerConnection::Refuse(int status, HttpHeaders headers) {
   headers.Add("Content-Type", "application/json");
   queue_.AddRefusal(
       {status, std::move(headers), Body(R"({"error":"request refused"})")});
@@ -179,6 +230,32 @@
   must_wait_ = false;
   held_.reset();
   parser_.Reset();
+  if (is_paused_) {
+    // What still arrives is discarded.
+    is_paused_ = false;
+    bufferevent_enable(bev_, EV_READ);
+  }
+  evbuffer_drain(input(), evbuffer_get_length(input()));
+  unread_bytes_ = 0;
+  CountInput();
+}
+
+void CallerConnection::ReclaimInput() {
+  if (!is_reading_ && !held_) {
+    // What was sent ahead of its turn counts as not read.
+    EndInput();
+    return;
+  }
+  HttpHeaders headers;
+  headers.Add(owner_->retry_after_name(),
+              fmt::format("{:.2f}", ToSeconds(kMemoryRetryAfter)));
+  Refuse(503, std::move(headers));
+}
+
+void CallerConnection::Resume() {
+  is_paused_ = false;
+  bufferevent_enable(bev_, EV_READ);
+  ReadMore();
 }
 
 void CallerConnection::Answer(ExchangeId id, ExchangeQueue::Response response) {
@@ -195,9 +272,15 @@
     const std::string head = SerializeResponseHead(
         response.status, headers, response.body.size(), next->is_head);
     evbuffer_add(buf, head.data(), head.size());
-    if (HasResponseBody(response.status, next->is_head))
-      response.body.AddTo(buf);
+    if (HasResponseBody(response.status, next->is_head) &&
+        !response.body.AddTo(buf)) {
+      // The rest of the response is missing, so nothing may follow it.
+      close_timer_ = owner_->loop()->After(Duration::zero(),
+                                           [this] { owner_->Close(this); });
+      break;
+    }
   }
+  CountOutput();
   UpdateReadTimeout();
 }
 
@@ -216,7 +299,7 @@
   is_lingering_ = true;
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
   // A caller that goes on sending does not prolong it.
-  linger_timer_ =
+  close_timer_ =
       owner_->loop()->After(kLingerTimeout, [this] { owner_->Close(this); });
   // Reading is disabled after a read timeout.
   bufferevent_enable(bev_, EV_READ);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "gateway/buffer_account.h"
 #include "gateway/exchange_queue.h"
 #include "http/parser.h"
 #include "net/event_loop.h"
@@ -27,6 +30,10 @@
     virtual ~Owner() = default;
     virtual EventLoop* loop() = 0;
     virtual const CallerLimits& limits() const = 0;
+    // Null: buffered bytes are not counted.
+    virtual BufferAccount* buffers() = 0;
+    // Name of the header field with the delay of a retry.
+    virtual const std::string& retry_after_name() const = 0;
     // True once each connection closes after the requests that it has started.
     virtual bool closes_after_responses() const = 0;
     virtual bool MayPipeline(const ReceivedMessage& request) = 0;
@@ -34,6 +41,8 @@
     // May reply before it returns.
     virtual void Handle(ExchangeId id, ReceivedMessage request) = 0;
     virtual void Close(CallerConnection* connection) = 0;
+    // Resume is to be called once memory is no longer scarce.
+    virtual void OnPaused() = 0;
   };
 
   // After the last response, a connection waits this long for the caller to
@@ -47,6 +56,9 @@
   // No further request is read while responses of more bytes wait or are
   // unsent.
   static constexpr size_t kMaxWaitingBytes = 256 << 10;
+  // Retry delay for requests that were given up for their memory: by then,
+  // stalled bodies have been reclaimed or read to their end.
+  static constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
   CallerConnection(Owner* owner, evutil_socket_t fd);
   CallerConnection(const CallerConnection&) = delete;
@@ -60,11 +72,20 @@
   // Closes the connection if no request has begun.
   void CloseIfIdle();
   std::vector<ExchangeId> Unanswered() const { return queue_.Unanswered(); }
+  bool has_unanswered() const { return queue_.has_unanswered(); }
+  // Reads on after a pause.
+  void Resume();
+  bool is_paused() const { return is_paused_; }
+  // Counts received bytes that are still in the kernel.
+  void CountUnreadBytes();
+  // When the last byte was received or sent.
+  TimePoint progress_at() const { return progress_at_; }
 
  private:
   static void HandleRead(bufferevent*, void* arg);
   static void HandleWrite(bufferevent*, void* arg);
   static void HandleEvent(bufferevent*, short what, void* arg);
+  static void HandleOutput(evbuffer*, const evbuffer_cb_info* info, void* arg);
 
   evbuffer* input() const { return bufferevent_get_input(bev_); }
   size_t OutputBytes() const;
@@ -79,7 +100,10 @@
   void Start(ReceivedMessage request);
   // True if the request may start behind others.
   bool MayPipeline(const ReceivedMessage& request) const;
-  void Refuse(int status);
+  void Refuse(int status, HttpHeaders headers = {});
+  void CountInput();
+  void CountOutput();
+  void ReclaimInput();
   void EndInput();
   void SendReady();
   void Linger();
@@ -87,6 +111,8 @@
 
   Owner* owner_;
   bufferevent* bev_;
+  BufferAccount::Holder input_holder_;
+  BufferAccount::Holder output_holder_;
   MessageParser parser_{HttpMessageType::kRequest, {}};
   ExchangeQueue queue_;
   bool is_reading_ = false;  // a byte of the next request has been read
@@ -98,9 +124,13 @@
   bool is_last_sent_ = false;
   bool is_lingering_ = false;
   bool is_in_read_loop_ = false;
+  // Memory is too scarce to read the rest of a large body.
+  bool is_paused_ = false;
+  size_t unread_bytes_ = 0;  // in the kernel, when last counted
+  TimePoint progress_at_ = EventLoop::Now();
   TimePoint message_started_at_{};
   Duration read_timeout_{-1};
-  std::unique_ptr<Timer> linger_timer_;
+  std::unique_ptr<Timer> close_timer_;
 };
 
 }  // namespace rwf
--- a/src/gateway/exchange_queue.cc
+++ b/src/gateway/exchange_queue.cc
@@ -43,6 +43,12 @@
   return out;
 }
 
+bool ExchangeQueue::has_unanswered() const {
+  return std::any_of(
+      exchanges_.begin(), exchanges_.end(),
+      [](const Exchange& it) { return !it.response.has_value(); });
+}
+
 std::vector<ExchangeId> ExchangeQueue::Unanswered() const {
   std::vector<ExchangeId> out;
   for (const Exchange& it : exchanges_) {
--- a/src/gateway/exchange_queue.h
+++ b/src/gateway/exchange_queue.h
@@ -57,6 +57,7 @@
   // Bytes of the bodies of responses that wait for earlier ones.
   size_t waiting_bytes() const { return waiting_bytes_; }
   std::vector<ExchangeId> Unanswered() const;
+  bool has_unanswered() const;
 
  private:
   std::deque<Exchange> exchanges_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -71,6 +71,9 @@
   Exchange* it = owned.get();
   it->id = id;
   it->request = std::move(request);
+  it->request_holder = std::make_unique<BufferAccount::Holder>(
+      deps_.buffers, BufferUse::kServed);
+  it->request_holder->Set(it->request.buffered_bytes, now);
   it->request_id = it->request.headers.Get(deps_.header_names->request_id);
   it->arrived_at = it->request.received_at;
   it->catalog = catalog_;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -43,6 +43,7 @@
   WorkspaceLimiter* limiter = nullptr;
   AttemptBudget* budget = nullptr;
   UpstreamPool* pool = nullptr;
+  BufferAccount* buffers = nullptr;  // null: buffered bytes are not counted
   KeyFreshness* freshness = nullptr;
   CrashWatch* crashes = nullptr;
   EventLog* log = nullptr;
@@ -137,6 +138,7 @@
   struct Exchange {
     ExchangeId id = 0;
     ReceivedMessage request;
+    std::unique_ptr<BufferAccount::Holder> request_holder;
     std::string request_id;
     std::shared_ptr<const Catalog> catalog;
     const TrafficRoute* route = nullptr;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,7 +38,8 @@
                   .pacing_seed = settings_.self.incarnation},
                  &registry_, &notices_),
       limiter_(settings_.self.vm, EventLoop::Now()),
-      pool_(loop),
+      buffers_(BufferAccount::LimitOf(settings_.memory_mb)),
+      pool_(loop, &buffers_),
       fleet_(loop, settings_.self, &limiter_, &notices_, log),
       store_(loop, store, RelayCallbacks()),
       watch_(loop, &store_, &BootTimeNow),
@@ -54,7 +55,11 @@
   callbacks.may_pipeline = [this](const ReceivedMessage& request) {
     return forwarder_->MayPipeline(request);
   };
-  front_ = std::make_unique<FrontServer>(loop, std::move(callbacks));
+  front_ = std::make_unique<FrontServer>(
+      loop, std::move(callbacks),
+      FrontServer::Resources{&buffers_, log, &metrics_,
+                             settings_.header_names.retry_after,
+                             settings_.memory_mb, settings_.max_descriptors});
   ForwarderDependencies deps;
   deps.loop = loop;
   deps.header_names = &settings_.header_names;
@@ -65,6 +70,7 @@
   deps.limiter = &limiter_;
   deps.budget = &budget_;
   deps.pool = &pool_;
+  deps.buffers = &buffers_;
   deps.freshness = &freshness_;
   deps.crashes = &crashes_;
   deps.log = log;
@@ -109,8 +115,6 @@
       [this] { return double(pool_.counters().unidentified_responses); });
   metrics_.AddGauge("rwf_open_requests", "Requests in progress",
                     [this] { return double(forwarder_->active_requests()); });
-  metrics_.AddGauge("rwf_caller_connections", "Open connections of callers",
-                    [this] { return double(front_->connections()); });
   metrics_.AddGauge("rwf_instances", "Known upstream instances",
                     [this] { return double(registry_.size()); });
   metrics_.AddGauge("rwf_instances_limited",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "entry/metrics.h"
+#include "gateway/buffer_account.h"
 #include "gateway/change_relay.h"
 #include "gateway/event_log.h"
 #include "gateway/fleet.h"
@@ -35,6 +36,8 @@
   double retry_extra = 0;  // additional retries of all VMs together
   Duration retry_window{};
   LimitTolerance limit_tolerance;
+  int64_t memory_mb = 0;        // of the VM; zero: not known
+  int64_t max_descriptors = 0;  // of the VM; zero: not known
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
 };
@@ -131,6 +134,7 @@
   WorkspaceLimiter limiter_;
   AttemptBudget budget_;
   CrashWatch crashes_;
+  BufferAccount buffers_;
   UpstreamPool pool_;
   Fleet fleet_;
   ChangeRelay relay_;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -40,7 +40,8 @@
   if (bev != nullptr) bufferevent_free(bev);
 }
 
-UpstreamPool::UpstreamPool(EventLoop* loop) : loop_(loop) {
+UpstreamPool::UpstreamPool(EventLoop* loop, BufferAccount* buffers)
+    : loop_(loop), buffers_(buffers) {
   timer_ = loop->Every(kSweepInterval, [this] { CloseExpired(); });
 }
 
@@ -91,6 +92,8 @@
   Connection* it = owned.get();
   it->pool = this;
   it->target = target;
+  it->holder = std::make_unique<BufferAccount::Holder>(
+      buffers_, BufferUse::kResponse, [this, it] { GiveUpResponse(it); });
   it->bev = bufferevent_socket_new(loop_->base(), -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(it->bev, &UpstreamPool::HandleRead, nullptr,
                     &UpstreamPool::HandleEvent, it);
@@ -137,7 +140,11 @@
   bufferevent_enable(it->bev, EV_READ | EV_WRITE);
   evbuffer* out = bufferevent_get_output(it->bev);
   evbuffer_add(out, it->request.head.data(), it->request.head.size());
-  it->request.body.AddTo(out);
+  if (!it->request.body.AddTo(out)) {
+    // Without the rest of the body, the instance never runs the request.
+    it->connect_timer =
+        loop_->After(Duration::zero(), [this, it] { GiveUpResponse(it); });
+  }
   it->request.head = {};
   it->request.body = {};
 }
@@ -157,6 +164,13 @@
 void UpstreamPool::SetBuffered(Connection* it, size_t bytes) {
   buffered_bytes_ += bytes - it->buffered_bytes;
   it->buffered_bytes = bytes;
+  const TimePoint now = EventLoop::Now();
+  it->holder->Set(bytes, now);
+  it->holder->OnProgress(now);
+}
+
+void UpstreamPool::GiveUpResponse(Connection* it) {
+  Complete(it, {SendOutcome::kBroken, {}, it->was_used, true}, false);
 }
 
 void UpstreamPool::LimitBufferedBytes() {
@@ -165,8 +179,7 @@
         busy_.begin(), busy_.end(), [](const auto& a, const auto& b) {
           return a.second->buffered_bytes < b.second->buffered_bytes;
         });
-    Connection* it = largest->second;
-    Complete(it, {SendOutcome::kBroken, {}, it->was_used, true}, false);
+    GiveUpResponse(largest->second);
   }
 }
 
@@ -206,7 +219,8 @@
       case ParseState::kHeadTooLarge:
       case ParseState::kBodyTooLarge:
       case ParseState::kMalformed:
-        Complete(it, {SendOutcome::kBroken, {}, it->was_used, true}, false);
+      case ParseState::kOutOfMemory:
+        GiveUpResponse(it);
         return;
       case ParseState::kComplete:
         break;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/buffer_account.h"
 #include "http/parser.h"
 #include "net/event_loop.h"
 
@@ -86,7 +87,8 @@
     uint64_t unidentified_responses = 0;  // on reused connections
   };
 
-  explicit UpstreamPool(EventLoop* loop);
+  // Responses that are being received count in `buffers`, if given.
+  explicit UpstreamPool(EventLoop* loop, BufferAccount* buffers = nullptr);
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
   ~UpstreamPool();
@@ -116,6 +118,7 @@
     MessageParser parser{HttpMessageType::kResponse,
                          {kMaxResponseHeadBytes, kMaxResponseBytes}};
     size_t buffered_bytes = 0;  // of the incomplete response
+    std::unique_ptr<BufferAccount::Holder> holder;
     SendId send_id = 0;
     Request request;
     Callback callback;
@@ -152,9 +155,11 @@
   void SetBuffered(Connection* it, size_t bytes);
   // Gives up the largest incomplete responses above kMaxBufferedBytes.
   void LimitBufferedBytes();
+  void GiveUpResponse(Connection* it);
   void CloseExpired();
 
   EventLoop* loop_;
+  BufferAccount* buffers_;
   SendId next_id_ = 1;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<SendId, Connection*> busy_;
--- a/src/http/body.cc
+++ b/src/http/body.cc
@@ -35,7 +35,7 @@
   return out;
 }
 
-void Body::AddTo(evbuffer* out) const {
+bool Body::AddTo(evbuffer* out) const {
   for (const Block& it : blocks_) {
     // The buffer owns one reference to the block until it has sent its bytes.
     auto owned = std::make_unique<Block>(it);
@@ -43,8 +43,10 @@
         out, it->data(), it->size(),
         [](const void*, size_t, void* arg) { delete static_cast<Block*>(arg); },
         owned.get());
-    if (ec == 0) owned.release();
+    if (ec != 0) return false;
+    owned.release();
   }
+  return true;
 }
 
 }  // namespace rwf
--- a/src/http/body.h
+++ b/src/http/body.h
@@ -31,8 +31,9 @@
   std::vector<std::string_view> Blocks() const;
   std::string ToString() const;
   // Appends the bytes to `out` by reference. The blocks live until `out` has
-  // been drained of them.
-  void AddTo(evbuffer* out) const;
+  // been drained of them. Returns false if memory ran out before the last
+  // block.
+  [[nodiscard]] bool AddTo(evbuffer* out) const;
 
   friend bool operator==(const Body& a, std::string_view b) {
     return a.size() == b.size() && a.ToString() == b;
--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <climits>
+#include <new>
 #include <vector>
 
 namespace rwf {
@@ -60,6 +61,7 @@
   has_value_ = false;
   has_begun_ = false;
   head_bytes_ = 0;
+  fields_ = 0;
   interim_responses_ = 0;
   is_head_response_ = is_head_response;
 }
@@ -109,6 +111,7 @@
 
 void MessageParser::FlushField() {
   if (!has_value_ && field_.empty()) return;
+  ++fields_;
   message_.headers.Add(std::move(field_), std::move(value_));
   field_.clear();
   value_.clear();
@@ -168,7 +171,13 @@
     self->state_ = ParseState::kBodyTooLarge;
     return 1;
   }
-  self->message_.body.Append({data, n});
+  try {
+    self->message_.body.Append({data, n});
+  } catch (const std::bad_alloc&) {
+    // Exceptions must not pass through the C code of http_parser.
+    self->state_ = ParseState::kOutOfMemory;
+    return 1;
+  }
   return 0;
 }
 
@@ -185,6 +194,7 @@
     self->state_ = ParseState::kHead;
     return 0;
   }
+  self->message_.buffered_bytes = self->buffered_bytes();
   self->state_ = ParseState::kComplete;
   http_parser_pause(raw, 1);
   return 0;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -26,6 +26,9 @@
   // False for a response whose body is delimited by the close of its
   // connection.
   bool is_self_delimited = true;
+  // Memory that the message takes: its body, its head and a constant for each
+  // header field.
+  size_t buffered_bytes = 0;
   // Requests: when the last byte was read. Set by the receiver.
   TimePoint received_at{};
 };
@@ -43,6 +46,7 @@
   kHeadTooLarge,
   kBodyTooLarge,
   kMalformed,
+  kOutOfMemory,  // for a further block of the body
 };
 
 // Parses the HTTP messages of one direction, one at a time. Bytes after a
@@ -67,6 +71,10 @@
   // True once a byte of the current message has been consumed.
   bool has_begun() const { return has_begun_; }
   const ReceivedMessage& message() const { return message_; }
+  // Memory that the message takes so far.
+  size_t buffered_bytes() const {
+    return message_.body.size() + head_bytes_ + fields_ * kFieldBytes;
+  }
   ReceivedMessage Take() { return std::move(message_); }
 
  private:
@@ -82,6 +90,9 @@
   }
   // Interim responses that may precede one final response.
   static constexpr int kMaxInterimResponses = 16;
+  // Memory of a header field beside its bytes. Fields of a few bytes each would
+  // otherwise take many times what is counted.
+  static constexpr size_t kFieldBytes = 2 * sizeof(HttpHeaders::Field);
 
   bool CountHeadBytes(size_t n);
   void FlushField();
@@ -97,6 +108,7 @@
   bool has_begun_ = false;
   bool is_head_response_ = false;
   size_t head_bytes_ = 0;  // including trailers
+  size_t fields_ = 0;
   int interim_responses_ = 0;
 };
 
--- a/tests/gateway/data_path_fixture.h
+++ b/tests/gateway/data_path_fixture.h
@@ -147,10 +147,82 @@
          RequestIdOf(request) + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+// A caller that sends requests ahead on one connection.
+class PipeliningCaller {
+ public:
+  PipeliningCaller(EventLoop* loop, uint16_t port)
+      : bev_(bufferevent_socket_new(loop->base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(bev_, &PipeliningCaller::Read, nullptr,
+                      &PipeliningCaller::Event, this);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&to),
+                               sizeof(to));
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+  }
+  PipeliningCaller(const PipeliningCaller&) = delete;
+  PipeliningCaller& operator=(const PipeliningCaller&) = delete;
+  ~PipeliningCaller() { Disconnect(); }
+
+  void Send(const std::string& text) {
+    bufferevent_write(bev_, text.data(), text.size());
+  }
+  void StopReading() { bufferevent_disable(bev_, EV_READ); }
+  // Disconnects without an orderly end.
+  void Reset() {
+    const linger now{1, 0};
+    setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &now,
+               sizeof(now));
+    Disconnect();
+  }
+  void Disconnect() {
+    if (bev_ != nullptr) bufferevent_free(bev_);
+    bev_ = nullptr;
+  }
+
+  std::vector<ReceivedMessage> responses;
+  bool is_closed = false;
+
+ private:
+  static void Read(bufferevent* bev, void* arg) {
+    auto* self = static_cast<PipeliningCaller*>(arg);
+    evbuffer* buf = bufferevent_get_input(bev);
+    while (evbuffer_get_length(buf) > 0) {
+      std::string bytes(evbuffer_get_length(buf), '\0');
+      evbuffer_copyout(buf, bytes.data(), bytes.size());
+      const size_t n = self->parser_.Feed(bytes);
+      evbuffer_drain(buf, n);
+      if (self->parser_.state() != ParseState::kComplete) break;
+      self->responses.push_back(self->parser_.Take());
+      self->parser_.Reset();
+    }
+  }
+  static void Event(bufferevent*, short what, void* arg) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+      static_cast<PipeliningCaller*>(arg)->is_closed = true;
+  }
+
+  bufferevent* bev_;
+  MessageParser parser_{HttpMessageType::kResponse, {}};
+};
+
 // The data path of one VM, with scripted instances and one caller.
 class DataPathFixture {
  protected:
-  DataPathFixture() {
+  explicit DataPathFixture(int64_t memory_mb = 0, int64_t max_descriptors = 0)
+      : buffers(BufferAccount::LimitOf(memory_mb)),
+        front(&loop,
+              {[this](ExchangeId id, ReceivedMessage it) {
+                 forwarder->Handle(id, std::move(it));
+               },
+               [this](ExchangeId id) { forwarder->OnCallerDisconnected(id); },
+               [this](const ReceivedMessage& it) {
+                 return forwarder->MayPipeline(it);
+               }},
+              {&buffers, &log, &metrics, header_names.retry_after, memory_mb,
+               max_descriptors}) {
     TrafficWorkspace workspace;
     workspace.name = "w";
     workspace.keys = {Sha256("key")};
@@ -177,6 +249,7 @@
     deps.limiter = &limiter;
     deps.budget = &budget;
     deps.pool = &pool;
+    deps.buffers = &buffers;
     deps.freshness = &freshness;
     deps.crashes = &crashes;
     deps.log = &log;
@@ -249,6 +322,23 @@
     return parser.Take();
   }
 
+  // Runs the loop until the condition holds. Returns false after 10 s, for
+  // which no condition of these tests has a reason.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const TimePoint end = EventLoop::Now() + std::chrono::seconds(10);
+    while (!condition() && EventLoop::Now() < end) RunOnce();
+    return condition();
+  }
+  // Lets events that are due, and what follows from them, happen.
+  void Settle() {
+    for (int n = 0; n < 20; ++n) RunOnce();
+  }
+  void RunOnce() {
+    const auto timer =
+        loop.After(std::chrono::milliseconds(2), [this] { loop.Stop(); });
+    loop.Run();
+  }
+
   static std::string RequestText(const std::string& path, const std::string& id,
                                  const std::string& extra = "") {
     return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
@@ -279,21 +369,14 @@
   Placement placement{PlacementSettings{"r"}, &registry, &notices};
   WorkspaceLimiter limiter{"vm", EventLoop::Now()};
   AttemptBudget budget;
-  UpstreamPool pool{&loop};
+  BufferAccount buffers;
+  UpstreamPool pool{&loop, &buffers};
   KeyFreshness freshness{std::chrono::seconds(60)};
   CrashWatch crashes;
   int null_fd = open("/dev/null", O_WRONLY);
   EventLog log{&loop, null_fd, "vm"};
   Metrics metrics;
-  FrontServer front{
-      &loop,
-      {[this](ExchangeId id, ReceivedMessage it) {
-         forwarder->Handle(id, std::move(it));
-       },
-       [this](ExchangeId id) { forwarder->OnCallerDisconnected(id); },
-       [this](const ReceivedMessage& it) {
-         return forwarder->MayPipeline(it);
-       }}};
+  FrontServer front;
   std::unique_ptr<Forwarder> forwarder;
 };
 
--- a/tests/gateway/pipelining_test.cc
+++ b/tests/gateway/pipelining_test.cc
@@ -10,80 +10,11 @@
 namespace rwf {
 namespace {
 
-// A caller that sends requests ahead on one connection.
-class PipeliningCaller {
- public:
-  PipeliningCaller(EventLoop* loop, uint16_t port)
-      : bev_(bufferevent_socket_new(loop->base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-    bufferevent_setcb(bev_, &PipeliningCaller::Read, nullptr,
-                      &PipeliningCaller::Event, this);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(port);
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&to),
-                               sizeof(to));
-    bufferevent_enable(bev_, EV_READ | EV_WRITE);
-  }
-  PipeliningCaller(const PipeliningCaller&) = delete;
-  PipeliningCaller& operator=(const PipeliningCaller&) = delete;
-  ~PipeliningCaller() { Disconnect(); }
-
-  void Send(const std::string& text) {
-    bufferevent_write(bev_, text.data(), text.size());
-  }
-  void Disconnect() {
-    if (bev_ != nullptr) bufferevent_free(bev_);
-    bev_ = nullptr;
-  }
-
-  std::vector<ReceivedMessage> responses;
-  bool is_closed = false;
-
- private:
-  static void Read(bufferevent* bev, void* arg) {
-    auto* self = static_cast<PipeliningCaller*>(arg);
-    evbuffer* buf = bufferevent_get_input(bev);
-    while (evbuffer_get_length(buf) > 0) {
-      std::string bytes(evbuffer_get_length(buf), '\0');
-      evbuffer_copyout(buf, bytes.data(), bytes.size());
-      const size_t n = self->parser_.Feed(bytes);
-      evbuffer_drain(buf, n);
-      if (self->parser_.state() != ParseState::kComplete) break;
-      self->responses.push_back(self->parser_.Take());
-      self->parser_.Reset();
-    }
-  }
-  static void Event(bufferevent*, short what, void* arg) {
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
-      static_cast<PipeliningCaller*>(arg)->is_closed = true;
-  }
-
-  bufferevent* bev_;
-  MessageParser parser_{HttpMessageType::kResponse, {}};
-};
-
 // One instance that keeps each request until the test answers it.
 class PipeliningFixture : public DataPathFixture {
  protected:
   PipeliningFixture() { AddInstance("i1", instance.port); }
 
-  // Runs the loop until the condition holds. Returns false after 10 s, for
-  // which no condition of these tests has a reason.
-  bool RunUntil(const std::function<bool()>& condition) {
-    const TimePoint end = EventLoop::Now() + std::chrono::seconds(10);
-    while (!condition() && EventLoop::Now() < end) RunOnce();
-    return condition();
-  }
-  // Lets events that are due, and what follows from them, happen.
-  void Settle() {
-    for (int n = 0; n < 20; ++n) RunOnce();
-  }
-  void RunOnce() {
-    const auto timer =
-        loop.After(std::chrono::milliseconds(2), [this] { loop.Stop(); });
-    loop.Run();
-  }
   static std::string Id(int n) { return "id" + std::to_string(n); }
   static std::string Safe(int n) { return RequestText("/safe/x", Id(n)); }
   static std::string Once(int n) { return RequestText("/once/x", Id(n)); }
--- a/tests/http/body_test.cc
+++ b/tests/http/body_test.cc
@@ -38,7 +38,7 @@
     CHECK(body.size() == expected.size());
     CHECK(body == expected);
     EvbufferPtr buf(evbuffer_new());
-    body.AddTo(buf.get());
+    REQUIRE(body.AddTo(buf.get()));
     CHECK(TakeAll(buf.get()) == expected);
   }
 }
@@ -49,7 +49,7 @@
   EvbufferPtr buf(evbuffer_new());
   {
     Body body("abc");
-    body.AddTo(buf.get());
+    REQUIRE(body.AddTo(buf.get()));
     body.Append("def");
     CHECK(body == "abcdef");
   }
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -1,6 +1,9 @@
 #include "http/parser.h"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <vector>
 
@@ -157,6 +160,44 @@
   }
 }
 
+// Guards against heads of many short fields that take many times the memory
+// that is counted for them.
+TEST_CASE("Message, many short fields, counts a constant for each") {
+  std::string text = "GET / HTTP/1.1\r\n";
+  constexpr size_t kFields = 1000;
+  for (size_t n = 0; n < kFields; ++n) text += "a:b\r\n";
+  MessageParser parser(HttpMessageType::kRequest, {});
+  parser.Feed(text);
+  CHECK(parser.buffered_bytes() > (kFields - 1) * sizeof(HttpHeaders::Field));
+  parser.Feed("\r\n");
+  REQUIRE(parser.state() == ParseState::kComplete);
+  CHECK(parser.message().buffered_bytes == parser.buffered_bytes());
+  parser.Reset();
+  CHECK(parser.buffered_bytes() == 0);
+}
+
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+// Guards against an exception that passes through the C parser and ends the
+// process. A child process runs out of address space.
+TEST_CASE("Body, no memory for a block, is reported") {
+  const pid_t child = fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    MessageParser parser(HttpMessageType::kRequest, {});
+    parser.Feed("POST / HTTP/1.1\r\nContent-Length: 4000000000\r\n\r\n");
+    const std::string piece(1 << 20, 'x');
+    const rlimit bound{256 << 20, 256 << 20};
+    setrlimit(RLIMIT_AS, &bound);
+    for (int n = 0; n < 512 && parser.state() == ParseState::kBody; ++n)
+      parser.Feed(piece);
+    _exit(parser.state() == ParseState::kOutOfMemory ? 0 : 1);
+  }
+  int status = 0;
+  REQUIRE(waitpid(child, &status, 0) == child);
+  CHECK(status == 0);
+}
+#endif
+
 TEST_CASE("Response, serialized, parses back") {
   HttpHeaders headers;
   headers.Add("A", "b");
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -198,7 +198,7 @@
 
 constexpr const char* kSettings = R"({"vm":"v1","zone":"a","region":"r",
  "listen":{"callers":"10.0.0.1:80","readiness":"10.0.0.1:81","lookups":"10.0.0.1:82"},
- "link_mbps":200,"cpu_share":0.5,"first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
+ "link_mbps":200,"cpu_share":0.5,"memory_mb":160,"max_descriptors":4100,"first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
  "bounds":{"key_withdrawal_s":5,"stop_s":6,"retry_window_s":10,"retry_ratio":0.2,"retry_extra":64,"limit_tolerance_ratio":0.1,"limit_tolerance_requests":20,"limit_window_s":5,"max_shift":0.15,"lookup_ttl_s":5}})";
 
 TEST_CASE("Settings, valid, are parsed") {
@@ -206,6 +206,8 @@
   REQUIRE(settings.has_value());
   CHECK(settings->gateway.self.vm == "v1");
   CHECK(settings->gateway.self.capacity == EntryCapacity{200, 0.5});
+  CHECK(settings->gateway.memory_mb == 160);
+  CHECK(settings->gateway.max_descriptors == 4100);
   CHECK(settings->gateway.self.front_port == 80);
   CHECK(settings->gateway.self.peer_port == 7560);
   CHECK(settings->endpoints.metrics_port == 7561);
@@ -221,8 +223,9 @@
     CAPTURE(name);
     Json missing = valid;
     missing.erase(name);
-    const bool is_optional =
-        name == "region_of_zone" || name == "link_mbps" || name == "cpu_share";
+    const bool is_optional = name == "region_of_zone" || name == "link_mbps" ||
+                             name == "cpu_share" || name == "memory_mb" ||
+                             name == "max_descriptors";
     CHECK(ParseSettings(missing.dump(), "file", 0).has_value() == is_optional);
     Json wrong = valid;
     wrong[name] = Json::array({1});
