Clamp the deadlines of callers to one hour

A deadline header near 2^63 ms overflowed the sum with the time of arrival in Forwarder::Prepare. DeadlineReader, split out of the forwarder, reads the header without I/O, clamps it to 0 to 3,600 s and tells retries as before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -19,21 +19,10 @@
 // keys are stale: one round of the store watch.
 constexpr Duration kConfigurationRetryAfter = std::chrono::milliseconds(700);
 
-// A deadline that is shorter than the longest one of its route by this much is
-// taken as a sign of a retry: the caller has already spent time on an earlier
-// attempt.
-constexpr int64_t kRetryDeadlineGapMs = 60;
 // Retry delay for callers refused by a VM that is stopping; another VM can take
 // the request at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 
-int64_t ParseInteger(std::string_view text, int64_t fallback) {
-  int64_t n = fallback;
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), n);
-  return ec == std::errc() && end == text.data() + text.size() ? n : fallback;
-}
-
 // Statuses that tell callers that the request has not run.
 bool IsNotRunStatus(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -195,13 +184,9 @@
 
 void Forwarder::Prepare(Exchange* it, TimePoint now) {
   const TrafficRoute& route = *it->route;
-  const int64_t deadline_ms =
-      ParseInteger(it->request.headers.Get(deps_.header_names->deadline_ms),
-                   ToMillis(kDefaultDeadline));
-  Duration left = std::chrono::milliseconds(std::max<int64_t>(0, deadline_ms)) -
-                  kDeadlineMargin;
-  if (route.timeout > Duration::zero()) left = std::min(left, route.timeout);
-  it->deadline = it->arrived_at + std::max(left, Duration::zero());
+  const RequestDeadline deadline = deadlines_.Read(
+      it->request.headers.Get(deps_.header_names->deadline_ms), route);
+  it->deadline = it->arrived_at + deadline.time_left;
   PlacementRequest& placement_request = it->placement_request;
   placement_request.service = backend_picker_.Pick(route);
   placement_request.route = route.name;
@@ -219,11 +204,7 @@
       it->workspace != nullptr && it->workspace->priority >= 0
           ? it->workspace->priority
           : route.priority;
-  // Retries have less time left than the first attempt of a caller.
-  int64_t& max_deadline_ms = max_deadline_ms_[route.name];
-  max_deadline_ms = std::max(max_deadline_ms, deadline_ms);
-  placement_request.is_retry =
-      deadline_ms < max_deadline_ms - kRetryDeadlineGapMs;
+  placement_request.is_retry = deadline.is_retry;
   deps_.budget->OnRequest(placement_request.service, now);
   const ExchangeId id = it->id;
   it->deadline_timer =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 
 #include "base/digest.h"
 #include "gateway/decision_log.h"
+#include "gateway/instance_gauges.h"
 #include "gateway/limit_codec.h"
 
 namespace rwf {
@@ -115,18 +116,7 @@
       [this] { return double(pool_.counters().unidentified_responses); });
   metrics_.AddGauge("rwf_open_requests", "Requests in progress",
                     [this] { return double(forwarder_->active_requests()); });
-  metrics_.AddGauge("rwf_instances", "Known upstream instances",
-                    [this] { return double(registry_.size()); });
-  metrics_.AddGauge("rwf_instances_limited",
-                    "Upstream instances that name a limit of requests",
-                    [this] { return double(notices_.limited()); });
-  metrics_.AddGauge("rwf_instances_leaving",
-                    "Upstream instances that say they are leaving",
-                    [this] { return double(notices_.leaving()); });
-  metrics_.AddGauge(
-      "rwf_instances_waiting",
-      "Upstream instances that have asked this VM for a pause",
-      [this] { return double(notices_.waiting(EventLoop::Now())); });
+  AddInstanceGauges(&metrics_, &registry_, &notices_);
   metrics_.AddGauge("rwf_limits_kept",
                     "Limits of workspaces that this VM keeps for the fleet",
                     [this] { return double(limiter_.kept()); });
