Notice a caller that disconnects behind unread requests

While reading is suspended (64 KiB unread, or memory scarce), an end of file is not read, so the requests of a caller that had left ran to their deadlines. The state of the socket is now asked each 100 ms while reading is suspended.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,6 +1,8 @@
 #include "gateway/caller_connection.h"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -120,6 +122,27 @@
   is_in_read_loop_ = false;
   CountInput();
   UpdateReadTimeout();
+  UpdateDisconnectCheck();
+}
+
+void CallerConnection::UpdateDisconnectCheck() {
+  const bool is_suspended =
+      is_paused_ || evbuffer_get_length(input()) >= kMaxUnreadBytes;
+  if (!is_suspended) {
+    disconnect_timer_.reset();
+  } else if (disconnect_timer_ == nullptr) {
+    disconnect_timer_ = owner_->loop()->Every(kDisconnectCheckInterval,
+                                              [this] { CheckDisconnected(); });
+  }
+}
+
+void CallerConnection::CheckDisconnected() {
+  tcp_info info{};
+  socklen_t n = sizeof(info);
+  const int ec =
+      getsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_INFO, &info, &n);
+  if (ec == 0 && info.tcpi_state == TCP_ESTABLISHED) return;
+  owner_->Close(this);
 }
 
 void CallerConnection::BeginMessage() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -53,6 +53,10 @@
   static constexpr Duration kStallTimeout = std::chrono::seconds(20);
   // Maximum input that is buffered while no further request may be read.
   static constexpr size_t kMaxUnreadBytes = 64 << 10;
+  // While reading is suspended, an end of file is not read. Whether the caller
+  // has disconnected is asked at this interval.
+  static constexpr Duration kDisconnectCheckInterval =
+      std::chrono::milliseconds(100);
   // No further request is read while responses of more bytes wait or are
   // unsent.
   static constexpr size_t kMaxWaitingBytes = 256 << 10;
@@ -108,6 +112,8 @@
   void SendReady();
   void Linger();
   void UpdateReadTimeout();
+  void UpdateDisconnectCheck();
+  void CheckDisconnected();
 
   Owner* owner_;
   bufferevent* bev_;
@@ -131,6 +137,7 @@
   TimePoint message_started_at_{};
   Duration read_timeout_{-1};
   std::unique_ptr<Timer> close_timer_;
+  std::unique_ptr<Timer> disconnect_timer_;
 };
 
 }  // namespace rwf
--- a/src/http/body.cc
+++ b/src/http/body.cc
@@ -44,7 +44,7 @@
         [](const void*, size_t, void* arg) { delete static_cast<Block*>(arg); },
         owned.get());
     if (ec != 0) return false;
-    owned.release();
+    static_cast<void>(owned.release());
   }
   return true;
 }
--- a/tests/gateway/front_memory_test.cc
+++ b/tests/gateway/front_memory_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <memory>
 #include <string>
 #include <vector>
@@ -242,12 +243,14 @@
   to.sin_family = AF_INET;
   to.sin_port = htons(front_port);
   to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  const int ec = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  const bool is_connecting = ec == 0 || errno == EINPROGRESS;
   // The idle connection makes room for the new one.
   const bool has_closed = RunUntil([&] { return idle->is_closed; });
   const bool has_accepted = RunUntil([&] { return front.connections() == 1; });
   setrlimit(RLIMIT_NOFILE, &before);
   close(fd);
+  CHECK(is_connecting);
   CHECK(has_closed);
   CHECK(has_accepted);
 }
--- a/tests/gateway/pipelining_test.cc
+++ b/tests/gateway/pipelining_test.cc
@@ -132,26 +132,56 @@
   CHECK(front.connections() == 0);
 }
 
+// Guards against work for a caller that has disconnected behind more requests
+// than are read ahead: its end of file is not read then.
+TEST_CASE_FIXTURE(PipeliningFixture,
+                  "Caller, disconnects behind unread requests, cancels all") {
+  for (const bool resets : {false, true}) {
+    CAPTURE(resets);
+    instance.requests = 0;
+    PipeliningCaller leaving(&loop, front_port);
+    std::string text;
+    for (int n = 0; n < 8; ++n) text += Safe(n);
+    leaving.Send(text + Safe(8) +
+                 std::string(CallerConnection::kMaxUnreadBytes + 8192, '\n'));
+    REQUIRE(RunUntil([&] { return instance.held.size() == 8; }));
+    Settle();
+    if (resets) {
+      leaving.Reset();
+    } else {
+      leaving.Disconnect();
+    }
+    REQUIRE(RunUntil([&] { return instance.held.empty(); }));
+    CHECK(instance.requests == 8);
+    CHECK(forwarder->active_requests() == 0);
+    CHECK(front.connections() == 1);
+  }
+}
+
 // Guards against running a request that its caller counts as not read and sends
 // again, and against losing requests that have run before it.
 TEST_CASE_FIXTURE(PipeliningFixture,
                   "Requests, behind a closing response, run nowhere") {
   const std::string close = "Connection: close\r\n";
-  const std::vector<std::pair<std::string, int>> rows = {
+  struct Row {
+    std::string text;
+    int status;
+  };
+  const std::vector<Row> rows = {
       {RequestText("/safe/x", Id(1), close), 200},
       {"nonsense\r\n\r\n", 400},
       {"POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 5x\r\n\r\n", 400},
   };
-  for (const auto& [text, status] : rows) {
-    CAPTURE(text);
+  for (const Row& row : rows) {
+    CAPTURE(row.text);
     instance.requests = 0;
     PipeliningCaller closing(&loop, front_port);
-    closing.Send(Safe(0) + text + Safe(2) + Once(3));
-    const int started = status == 200 ? 2 : 1;
+    closing.Send(Safe(0) + row.text + Safe(2) + Once(3));
+    const int started = row.status == 200 ? 2 : 1;
     REQUIRE(RunUntil([&] { return instance.requests == started; }));
     closing.Send(Safe(4));
     Settle();
-    if (status == 200) Release(1);
+    if (row.status == 200) Release(1);
     Settle();
     CHECK(closing.responses.empty());
     Release(0);
@@ -159,7 +189,7 @@
     REQUIRE(closing.responses.size() == 2);
     CHECK(closing.responses[0].status == 200);
     CHECK_FALSE(closing.responses[0].headers.Has("Connection"));
-    CHECK(closing.responses[1].status == status);
+    CHECK(closing.responses[1].status == row.status);
     CHECK(closing.responses[1].headers.Get("Connection") == "close");
     CHECK(instance.requests == started);
   }
