Offer fewer waiting requests to placement at a time

Three tries for each of four services every 20 ms, and for each arrival, would take about 3% of a core by calculation, which is a third of a VM with 0.1 cores.

--- a/src/gateway/shortage_control.cc
+++ b/src/gateway/shortage_control.cc
@@ -41,7 +41,7 @@
       registry_(registry),
       placement_(placement),
       handlers_(std::move(handlers)) {
-  timer_ = loop->Every(kInterval, [this] { Tick(); });
+  timer_ = loop->Every(kInterval, [this] { Tick(kMaxRefusals); });
 }
 
 bool ShortageControl::MayWait(const PlacementRequest& request,
@@ -91,22 +91,29 @@
   if (!HeldSlot(outcome)) return;
   queue_.OnEnded(service, now);
   if (queue_.size() == 0 || ended_timer_ != nullptr) return;
-  ended_timer_ = loop_->After(Duration::zero(), [this] { Tick(); });
+  ended_timer_ = loop_->After(Duration::zero(), [this] { OnEndedTimer(); });
 }
 
-void ShortageControl::StartWaiting(const std::string& service, TimePoint now) {
-  for (const uint64_t id : queue_.Next(service, kMaxTries, now)) {
-    // A request that was started or refused meanwhile may have ended others.
-    if (queue_.IsQueued(id)) handlers_.try_start(id);
+void ShortageControl::StartWaiting(const std::string& service, TimePoint now,
+                                   int max_refusals) {
+  int refusals = 0;
+  for (const uint64_t id : queue_.Next(service, kMaxStarts, now)) {
+    // Starting one request may have ended others.
+    if (!queue_.IsQueued(id) || handlers_.try_start(id)) continue;
+    if (++refusals >= max_refusals) return;
   }
 }
 
-void ShortageControl::Tick() {
+void ShortageControl::OnEndedTimer() {
   ended_timer_.reset();
+  Tick(kMaxRefusalsAfterEnd);
+}
+
+void ShortageControl::Tick(int max_refusals) {
   if (queue_.size() == 0) return;
   const TimePoint now = EventLoop::Now();
   for (const std::string& service : queue_.WaitingServices())
-    StartWaiting(service, now);
+    StartWaiting(service, now, max_refusals);
   for (const AdmissionQueue::Refusal& it : queue_.TakeRefused(now))
     handlers_.refuse(it.id, it.retry_after);
 }
--- a/src/gateway/shortage_control.h
+++ b/src/gateway/shortage_control.h
@@ -19,13 +19,17 @@
  public:
   // Interval at which waiting requests are offered to instances whose reports
   // show free capacity, and refused once they can not end in time.
-  static constexpr Duration kInterval = std::chrono::milliseconds(20);
+  static constexpr Duration kInterval = std::chrono::milliseconds(40);
   // Weight of an instance's last report below which the service counts as one
   // that reports no load.
   static constexpr double kMinReportWeight = 0.1;
-  // Waiting requests that are offered to placement at a time: it may find a
-  // warm instance for a later one.
-  static constexpr size_t kMaxTries = 3;
+  // Waiting requests that are started at a time.
+  static constexpr size_t kMaxStarts = 8;
+  // Waiting requests that placement may refuse at a time. It may find a warm
+  // instance for a later one, but each try costs as much as a new request. A
+  // higher number applies after an attempt has ended.
+  static constexpr int kMaxRefusals = 1;
+  static constexpr int kMaxRefusalsAfterEnd = 3;
 
   struct Handlers {
     // Sends the request if an instance can take it. Returns true if so.
@@ -59,7 +63,8 @@
   void Cancel(uint64_t id) { queue_.Cancel(id); }
   // Offers the first waiting requests of the service to placement. A new
   // request must not take their place.
-  void StartWaiting(const std::string& service, TimePoint now);
+  void StartWaiting(const std::string& service, TimePoint now,
+                    int max_refusals = kMaxRefusals);
   // Refuses all waiting requests, because the VM stops.
   void RefuseAll();
   void AddMetrics(Metrics* metrics) const;
@@ -68,7 +73,8 @@
   const AdmissionQueue& queue() const { return queue_; }
 
  private:
-  void Tick();
+  void Tick(int max_refusals);
+  void OnEndedTimer();
 
   EventLoop* loop_;
   InstanceRegistry* registry_;
