Let requests wait for capacity only where the settings ask for it

Deployments that run are served as before unless wait_for_capacity is set. Tests of the data path switch it on; one more shows that it is off by default.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -119,7 +119,8 @@
 }
 
 bool Forwarder::Wait(Exchange* it, Duration* retry_after) {
-  return it->may_wait && stop_at_ == TimePoint::max() && !is_stopping_ &&
+  return waits_for_capacity_ && it->may_wait && stop_at_ == TimePoint::max() &&
+         !is_stopping_ &&
          shortage_.Offer(it->id, WorkspaceOf(*it), it->placement_request,
                          it->arrived_at, it->deadline, retry_after);
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -108,6 +108,8 @@
   // From now on, refuses requests that may last beyond this time.
   // Requests that wait for capacity are refused at once.
   void SetStopTime(TimePoint stop_at);
+  // Lets requests wait for capacity where that pays. Off by default.
+  void SetWaitsForCapacity(bool waits) { waits_for_capacity_ = waits; }
   // Mean rate of caller requests per second.
   double RequestsPerSecond(TimePoint now) const {
     return arrivals_.PerSecond(now);
@@ -225,6 +227,7 @@
   RateMeter arrivals_{kArrivalWindow};
   double mean_bytes_per_request_ = kInitialBytesPerRequest;
   bool is_stopping_ = false;
+  bool waits_for_capacity_ = false;
   TimePoint stop_at_ = TimePoint::max();
   uint64_t next_attempt_id_ = 1;
   WorkspaceLimiter::Ticket next_limit_ticket_ = 1;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -79,6 +79,7 @@
   deps.front = front_.get();
   deps.local_vm_count = [this] { return fleet_.VmsInRegion(); };
   forwarder_ = std::make_unique<Forwarder>(std::move(deps));
+  forwarder_->SetWaitsForCapacity(settings_.waits_for_capacity);
   limiter_.SetTolerance(settings_.limit_tolerance);
   SetRetryBounds();
   watch_.signal_item.connect([this](const StoreItem& it) { OnItem(it); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,8 @@
   double retry_extra = 0;  // additional retries of all VMs together
   Duration retry_window{};
   LimitTolerance limit_tolerance;
+  // Requests without capacity wait at this VM where that pays.
+  bool waits_for_capacity = false;
   int64_t memory_mb = 0;        // of the VM; zero: not known
   int64_t max_descriptors = 0;  // of the VM; zero: not known
   friend bool operator==(const GatewaySettings&,
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -719,6 +719,7 @@
 class ShortageFixture : public DataPathFixture {
  protected:
   ShortageFixture() {
+    forwarder->SetWaitsForCapacity(true);
     AddInstance("i1", instance.port);
     for (int n = 0; n < 10; ++n)
       CHECK(SendRequest(RequestText("/once/x", "w")).status == 200);
@@ -752,6 +753,15 @@
 
 // Guards against refusing a request that a slot becomes free for in time. The
 // estimate of the load falls below the instance's bound within 0.1 s.
+// Guards against deployments that did not ask for it.
+TEST_CASE_FIXTURE(ShortageFixture,
+                  "Shortage, not switched on, refuses at once") {
+  forwarder->SetWaitsForCapacity(false);
+  Report("20,0,6");
+  CHECK(SendRequest(RequestText("/once/x", "a")).status == 503);
+  CHECK(instance.requests == sent);
+}
+
 TEST_CASE_FIXTURE(ShortageFixture, "Shortage, slot expected in time, waits") {
   Report("20,0,6");
   CHECK(SendRequest(RequestText("/once/x", "a")).status == 200);
