Keep the machine factor of a load report

The fourth figure of the load report was dropped, and figures near 2^63 overflowed when they were added. A parser of its own bounds the figures and ignores an odd fourth one; InstanceState keeps the factor, which ages towards its mean, with a trust that falls when measured runs contradict it.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -4,12 +4,12 @@
 #include <strings.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <ctime>
 
 #include "base/hash.h"
 #include "gateway/decision_log.h"
+#include "gateway/load_report.h"
 #include "gateway/result_classifier.h"
 
 namespace rwf {
@@ -341,17 +341,12 @@
                                  TimePoint now) {
   InstanceState* state = deps_.registry->Find(instance);
   if (state == nullptr) return;
-  const std::string& load_header =
-      response.headers.Get(deps_.header_names->load);
-  std::array<int64_t, 2> load{};
-  const char* cursor = load_header.data();
-  const char* end = cursor + load_header.size();
-  for (int64_t& it : load) {
-    const auto [next, ec] = std::from_chars(cursor, end, it);
-    if (ec != std::errc() || next == end) return;
-    cursor = next + 1;
-  }
-  state->OnReport(load[0], load[1], now);
+  const std::optional<LoadReport> report =
+      ParseLoadReport(response.headers.Get(deps_.header_names->load));
+  if (!report) return;
+  state->OnReport(report->running, report->waiting, now);
+  if (report->machine_factor)
+    state->machine()->OnReport(*report->machine_factor, now);
 }
 
 ServiceTimeModel::Warmth Forwarder::WarmthOf(const Exchange& it,
--- a/src/traffic/instance_registry.cc
+++ b/src/traffic/instance_registry.cc
@@ -106,8 +106,11 @@
 }
 
 void InstanceState::OnReport(int64_t running, int64_t waiting, TimePoint now) {
+  // Added as floating-point numbers, since the sum of the integers may
+  // overflow.
   reported_others_ =
-      std::max<double>(0, static_cast<double>(running + waiting) - in_flight());
+      std::max(0.0, static_cast<double>(running) +
+                        static_cast<double>(waiting) - in_flight());
   reported_at_ = now;
 }
 
--- a/src/traffic/instance_registry.h
+++ b/src/traffic/instance_registry.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "traffic/machine_factor.h"
 
 namespace rwf {
 
@@ -85,6 +86,9 @@
   void OnEnded(uint64_t attempt, AttemptOutcome outcome, TimePoint now);
   // Records the number of requests that the instance runs and queues.
   void OnReport(int64_t running, int64_t waiting, TimePoint now);
+  // The speed of the instance's machine as reported and as measured.
+  MachineFactor* machine() { return &machine_; }
+  const MachineFactor& machine() const { return machine_; }
 
   int in_flight() const { return static_cast<int>(attempts_.size()); }
   // Returns the requests of all VMs that run or wait at the instance. Requests
@@ -131,6 +135,7 @@
   double assumed_others_ = 0;
   double reported_others_ = 0;
   TimePoint reported_at_{};
+  MachineFactor machine_;
   double slowness_ = 1;
   TimePoint slowness_at_{};
   double failure_ratio_ = 0;
