Place requests by expected completion where run times differ

One mean time by route and a slowness with a half-life of 4 s decided where a request went, so short requests waited behind long ones and slowed machines were found out late. The estimator keeps a distribution by route and warmth, the wait follows from the remaining work of an instance, and both apply to instances that report their machine's factor and to uneven routes; elsewhere every choice is the same as before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -408,8 +408,9 @@
     deps_.placement->OnResponse(it->placement_request.service, it->route->name,
                                 result.response.body.size(), run);
     if (state != nullptr && !state->IsCold(now)) {
-      deps_.placement->service_times()->OnResponse(
-          it->route->name, it->route->objective, WarmthOf(*it, attempt), run);
+      deps_.placement->OnRunEnded(it->placement_request, state,
+                                  WarmthOf(*it, attempt), attempt.started_at,
+                                  run, now);
     }
     Respond(it, result.response, attempt.instance);
     return;
--- a/src/traffic/instance_registry.cc
+++ b/src/traffic/instance_registry.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <string>
+#include <utility>
 
 namespace rwf {
 namespace {
@@ -28,7 +29,8 @@
 
 void InstanceState::OnSent(uint64_t attempt, uint64_t object, Duration expected,
                            TimePoint now) {
-  attempts_[attempt] = {now, std::max(expected, kMinExpectedLatency), object};
+  attempts_[attempt] = {now, std::max(expected, kMinExpectedLatency), object,
+                        std::exchange(planned_run_, {})};
 }
 
 void InstanceState::OnEnded(uint64_t attempt, AttemptOutcome outcome,
@@ -111,6 +113,7 @@
   reported_others_ =
       std::max(0.0, static_cast<double>(running) +
                         static_cast<double>(waiting) - in_flight());
+  has_reported_queue_ = waiting > 0;
   reported_at_ = now;
 }
 
--- a/src/traffic/instance_registry.h
+++ b/src/traffic/instance_registry.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "traffic/cost_estimator.h"
 #include "traffic/machine_factor.h"
 
 namespace rwf {
@@ -80,6 +81,22 @@
   bool IsCold(TimePoint now) const { return now < cold_until_; }
   TimePoint cold_until() const { return cold_until_; }
 
+  // What the VM knows of one of its own runs.
+  struct OwnRun {
+    RunCost cost;  // distribution null: unknown
+    Duration
+        wait{};  // expected before the run, on the network and in the queue
+    double factor = 1;  // of the machine, as expected when it was sent
+  };
+  struct Attempt {
+    TimePoint at{};
+    Duration expected{};
+    uint64_t object = 0;
+    OwnRun run;
+  };
+
+  // Sets the cost of the run that the next OnSent() records.
+  void PlanRun(const OwnRun& run) { planned_run_ = run; }
   // Records the start of an attempt that should take `expected`.
   void OnSent(uint64_t attempt, uint64_t object, Duration expected,
               TimePoint now);
@@ -91,6 +108,10 @@
   const MachineFactor& machine() const { return machine_; }
 
   int in_flight() const { return static_cast<int>(attempts_.size()); }
+  // The VM's own attempts that run or wait, by their id.
+  const std::unordered_map<uint64_t, Attempt>& attempts() const {
+    return attempts_;
+  }
   // Returns the requests of all VMs that run or wait at the instance. Requests
   // of other VMs are taken from the last report, which is gradually replaced by
   // the assumed number as it ages.
@@ -98,6 +119,9 @@
   // Returns the weight of the last report in the estimate of other VMs'
   // requests. It decays from 1 to 0.
   double ReportWeight(TimePoint now) const;
+  bool has_report() const { return reported_at_ != TimePoint{}; }
+  // Whether the last report told of requests that wait.
+  bool has_reported_queue() const { return has_reported_queue_; }
   // Requests of other VMs at the instance as of the last report.
   double reported_others() const { return reported_others_; }
   // Sets the number of requests of other VMs that is assumed in the absence of
@@ -117,11 +141,6 @@
   bool has_succeeded() const { return has_succeeded_; }
 
  private:
-  struct Attempt {
-    TimePoint at{};
-    Duration expected{};
-    uint64_t object = 0;
-  };
   void CountFailure(TimePoint now, bool ejects_at_once);
   void MarkWarm(uint64_t object, TimePoint now);
 
@@ -131,9 +150,11 @@
   TimePoint unreachable_until_{};
   TimePoint shed_until_{};
   std::unordered_map<uint64_t, Attempt> attempts_;
+  OwnRun planned_run_;
   std::unordered_map<uint64_t, TimePoint> warm_objects_;
   double assumed_others_ = 0;
   double reported_others_ = 0;
+  bool has_reported_queue_ = false;
   TimePoint reported_at_{};
   MachineFactor machine_;
   double slowness_ = 1;
--- a/src/traffic/machine_factor.cc
+++ b/src/traffic/machine_factor.cc
@@ -14,6 +14,8 @@
 // Bounds of the ratio of one run to the usual time.
 constexpr double kMinRatio = 0.01;
 constexpr double kMaxRatio = 100;
+// Longest run relative to the present slowness, as a logarithm.
+constexpr double kMaxSlownessStep = 1;
 
 }  // namespace
 
@@ -26,23 +28,29 @@
   reports_[count_++ % reports_.size()] = last_;
 }
 
-void MachineFactor::OnRun(double ratio, TimePoint started_at, TimePoint now) {
+void MachineFactor::OnRun(double ratio, bool is_exact, TimePoint started_at,
+                          TimePoint now) {
   const double log_ratio = std::log(std::clamp(ratio, kMinRatio, kMaxRatio));
-  double log_factor = 0;
-  if (IsReported(now)) {
-    log_factor = MeanLogSince(started_at, now);
-    if (std::abs(log_factor) >= kMinJudgedLog) {
-      // A single run differs for other reasons too, so neither direction is cut
-      // off at once; that would pull the trust away from both ends.
-      const double explained = std::clamp(log_ratio / log_factor, -0.5, 1.5);
-      const double gain = kTrustGain * std::min(1.0, std::abs(log_factor));
-      trust_ = std::clamp(trust_ + gain * (explained - trust_), 0.0, 1.0);
-    }
+  const double log_factor = is_reported() ? MeanLogSince(started_at, now) : 0;
+  // Unknown waiting only adds to a time, so a shorter one is evidence anyway.
+  if (!is_exact && log_ratio >= trust_ * log_factor + UnexplainedLog(now))
+    return;
+  if (std::abs(log_factor) >= kMinJudgedLog) {
+    // A single run differs for other reasons too, so neither direction is cut
+    // off at once; that would pull the trust away from both ends.
+    const double explained = std::clamp(log_ratio / log_factor, -0.5, 1.5);
+    const double gain = kTrustGain * std::min(1.0, std::abs(log_factor));
+    trust_ = std::clamp(trust_ + gain * (explained - trust_), 0.0, 1.0);
   }
-  const double before =
-      unexplained_log_ * Decay(now - unexplained_at_, kSlownessHalfLife);
-  const double sample = log_ratio - trust_ * log_factor;
-  unexplained_log_ = before + kSlownessGain * (sample - before);
+  // A long run counts less than a short one, since more than the instance may
+  // cause it.
+  const double sample =
+      std::min(log_ratio - trust_ * log_factor,
+               std::max(0.0, UnexplainedLog(now)) + kMaxSlownessStep);
+  const double kept = Decay(now - unexplained_at_, kSlownessHalfLife) *
+                      (1 - 1 / kMaxSlownessWeight);
+  unexplained_sum_ = kept * unexplained_sum_ + sample;
+  unexplained_weight_ = kept * unexplained_weight_ + 1;
   unexplained_at_ = now;
 }
 
@@ -67,17 +75,22 @@
 }
 
 double MachineFactor::At(TimePoint now) const {
-  return IsReported(now) ? std::exp(trust_ * LogAt(now)) : 1;
+  return is_reported() ? std::exp(trust_ * LogAt(now)) : 1;
 }
 
 double MachineFactor::MeanSince(TimePoint t, TimePoint now) const {
-  return IsReported(now) ? std::exp(trust_ * MeanLogSince(t, now)) : 1;
+  return is_reported() ? std::exp(trust_ * MeanLogSince(t, now)) : 1;
+}
+
+double MachineFactor::UnexplainedLog(TimePoint now) const {
+  const double decay = Decay(now - unexplained_at_, kSlownessHalfLife);
+  return decay * unexplained_sum_ /
+         (decay * unexplained_weight_ + kUsualWeight);
 }
 
 double MachineFactor::UnexplainedAt(TimePoint now) const {
   // Bounded here and not in OnRun(), where it would turn noise into slowness.
-  return std::exp(std::max(0.0, unexplained_log_) *
-                  Decay(now - unexplained_at_, kSlownessHalfLife));
+  return std::exp(std::max(0.0, UnexplainedLog(now)));
 }
 
 }  // namespace rwf
--- a/src/traffic/machine_factor.h
+++ b/src/traffic/machine_factor.h
@@ -15,26 +15,25 @@
   // way to the mean of the machine, which itself returns to 1.
   static constexpr Duration kHalfLife = std::chrono::milliseconds(300);
   static constexpr Duration kMeanHalfLife = std::chrono::seconds(2);
-  static constexpr Duration kMeanRetention = std::chrono::seconds(10);
-  // Time without a report after which the instance counts as one that does not
-  // report the factor.
-  static constexpr Duration kMaxAge = std::chrono::seconds(30);
+  static constexpr Duration kMeanRetention = std::chrono::seconds(1);
   // Weight of one run in the trust, and the distance of a factor from 1 below
   // which a run says nothing about it (as a logarithm).
-  static constexpr double kTrustGain = 0.15;
+  static constexpr double kTrustGain = 0.3;
   static constexpr double kMinJudgedLog = 0.22;
-  // Half-life of the slowness that reports do not explain, and the weight of
-  // one run in it.
+  // Half-life of the slowness that reports do not explain. Runs count up to
+  // this weight, against the assumption of a usual instance with the other
+  // weight, in runs.
   static constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
-  static constexpr double kSlownessGain = 0.15;
+  static constexpr double kMaxSlownessWeight = 6;
+  static constexpr double kUsualWeight = 2;
 
   void OnReport(double factor, TimePoint now);
-  // Records a run that took `ratio` times the usual time of its route.
-  void OnRun(double ratio, TimePoint started_at, TimePoint now);
+  // Records a run that took `ratio` times the usual time of its route. If the
+  // time may contain unknown waiting (`is_exact` false), the run only counts as
+  // far as it was shorter than expected.
+  void OnRun(double ratio, bool is_exact, TimePoint started_at, TimePoint now);
 
-  bool IsReported(TimePoint now) const {
-    return count_ > 0 && now - last_.at < kMaxAge;
-  }
+  bool is_reported() const { return count_ > 0; }
   // Returns the expected factor, weighted by the trust in reports.
   double At(TimePoint now) const;
   // Returns the mean factor since `t`, weighted by the trust in reports.
@@ -49,6 +48,7 @@
     double log_factor = 0;
   };
   double LogAt(TimePoint now) const;
+  double UnexplainedLog(TimePoint now) const;
   double MeanLogAt(TimePoint now) const;
   double MeanLogSince(TimePoint t, TimePoint now) const;
 
@@ -58,7 +58,8 @@
   Report last_;
   double mean_log_ = 0;
   double trust_ = 1;
-  double unexplained_log_ = 0;
+  double unexplained_sum_ = 0;  // of logarithms
+  double unexplained_weight_ = 0;
   TimePoint unexplained_at_{};
 };
 
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -47,24 +47,12 @@
 
 }  // namespace
 
-const char* RejectionCauseName(RejectionCause cause) {
-  static constexpr std::array<const char*,
-                              static_cast<size_t>(RejectionCause::kCount)>
-      kNames = {"cold-rate", "deadline", "full",    "cold-run",
-                "late",      "leaving",  "waiting", "limited"};
-  return kNames[static_cast<size_t>(cause)];
-}
-
-RejectionCause RefusalDetails::MainCause() const {
-  const auto most = std::max_element(rejected.begin(), rejected.end());
-  return static_cast<RejectionCause>(most - rejected.begin());
-}
-
 Placement::Placement(PlacementSettings settings, InstanceRegistry* registry,
                      InstanceNotices* notices)
     : settings_(std::move(settings)),
       registry_(registry),
       notices_(notices),
+      costs_(settings_.pacing_seed),
       pacer_(settings_.pacing_seed),
       split_(settings_.max_shift) {}
 
@@ -119,6 +107,14 @@
   out.is_warm = request.object != 0 && it->IsWarmFor(request.object, now);
   // Other VMs also send the object to the first instance of its order.
   const bool may_be_warm = out.is_warm || (request.object != 0 && rank == 0);
+  const Duration network =
+      search.is_local ? Duration::zero() : settings_.cross_region_rtt;
+  out.cost = search.costs->CostOf(may_be_warm);
+  if (settings_.is_cost_aware && CostEvaluation::Applies(*search.costs, *it)) {
+    CostEvaluation::Evaluate(search.costs, may_be_warm, kColdInstanceFactor,
+                             network, now, &out);
+    return out;
+  }
   const double slowness = it->SlownessAt(now);
   double run = ToSeconds(may_be_warm ? times.warm : times.cold) * slowness;
   double healthy_run = ToSeconds(out.is_warm ? times.warm : times.cold);
@@ -132,8 +128,6 @@
   // Two thirds of the queued runs are assumed to be warm.
   const double mean_run =
       (ToSeconds(times.warm) * 2 + ToSeconds(times.cold)) / 3 * slowness;
-  const Duration network =
-      search.is_local ? Duration::zero() : settings_.cross_region_rtt;
   out.expected = FromSeconds(run);
   out.expected_total = FromSeconds(run + waiting * mean_run) + network;
   out.healthy_latency =
@@ -280,6 +274,7 @@
       // Among equal instances, prefer the one with more free slots.
       cost += kLoadCost * it->LoadAt(now) /
               static_cast<double>(std::max<int64_t>(1, it->info().slots));
+      cost += choice.harm;
       if (cost >= best_cost) continue;
       best_cost = cost;
       best = choice;
@@ -313,6 +308,7 @@
   const bool prefers_remote = PrefersRemote(request);
   const ServiceTimeModel::Times times = service_times_.Expected(
       request.route, request.objective, request.object != 0);
+  CostEvaluation::Inputs costs = costs_.InputsOf(request);
   RefusalDetails details;
   details.is_time_measured = times.is_learned;
   Search search{.request = &request,
@@ -322,7 +318,8 @@
                 .region_load = prefers_remote ? remote_load : local_load,
                 .now = now,
                 .times = times,
-                .details = &details};
+                .details = &details,
+                .costs = &costs};
   std::optional<PlacementChoice> first = FindBest(search);
   // The preferred region meets the objective, so no other is considered.
   if (first && first->expected_total <= request.objective) return *first;
@@ -388,6 +385,9 @@
     window_start_ = now;
   }
   if (notices_ != nullptr) notices_->OnSent(choice.instance->info(), now);
+  choice.instance->PlanRun({choice.cost,
+                            choice.expected_total - choice.expected,
+                            choice.instance->machine()->At(now)});
   ++requests_[0];
   split_.OnRequest(request.service, HasLargeResponse(request));
   const bool was_remote = PrefersRemote(request);
@@ -451,37 +451,7 @@
 
 void Placement::SetPeerLoads(const RegionLoads& loads, TimePoint now) {
   peer_loads_ = loads;
-  struct Unreported {
-    double requests = 0;
-    double slots = 0;
-  };
-  // Instances with a recent report keep the reported number, the others share
-  // the rest. A plain mean would count the requests at busy instances twice.
-  std::map<ServiceRegion, Unreported> rest;
-  for (const auto& [id, it] : registry_->all()) {
-    Unreported& unreported = rest[{it->info().service, it->info().region}];
-    const double weight = it->ReportWeight(now);
-    unreported.requests -= weight * it->reported_others();
-    unreported.slots += (1 - weight) * static_cast<double>(it->info().slots);
-  }
-  for (auto& [key, unreported] : rest) {
-    const auto load = loads.find(key);
-    if (load != loads.end()) unreported.requests += load->second;
-    unreported.requests = std::max(0.0, unreported.requests);
-  }
-  for (const auto& [id, it] : registry_->all()) {
-    const Unreported& unreported =
-        rest[{it->info().service, it->info().region}];
-    const double fraction =
-        unreported.slots > 0
-            ? static_cast<double>(it->info().slots) / unreported.slots
-            : 0;
-    // Limited to the instance's slots and queue: when nearly all instances have
-    // reported, the rest does not belong to a single one.
-    it->set_assumed_others(
-        std::min(unreported.requests * fraction,
-                 kMaxLoad * static_cast<double>(it->info().slots)));
-  }
+  AssumeLoads(registry_, loads, kMaxLoad, now);
 }
 
 bool Placement::HasLargeResponse(const PlacementRequest& request) const {
@@ -505,6 +475,15 @@
   mean += kResponseSizeGain * (static_cast<double>(bytes) - mean);
 }
 
+void Placement::OnRunEnded(const PlacementRequest& request,
+                           InstanceState* instance,
+                           ServiceTimeModel::Warmth warmth,
+                           TimePoint started_at, Duration run, TimePoint now) {
+  const Duration usual =
+      costs_.OnRunEnded(request, instance, warmth, started_at, run, now);
+  service_times_.OnResponse(request.route, request.objective, warmth, usual);
+}
+
 void Placement::UpdateRegionSplit(
     const std::vector<std::string>& services,
     const std::map<std::string, std::vector<double>>& peer_shares,
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -9,98 +8,24 @@
 #include <vector>
 
 #include "base/time.h"
-#include "traffic/catalog.h"
 #include "traffic/cold_pacer.h"
+#include "traffic/cost_evaluation.h"
 #include "traffic/instance_notices.h"
 #include "traffic/instance_registry.h"
+#include "traffic/placement_types.h"
+#include "traffic/region_loads.h"
 #include "traffic/region_split.h"
 #include "traffic/service_time_model.h"
 
 namespace rwf {
 
-// Requirements of a request on its instance.
-struct PlacementRequest {
-  std::string service;
-  std::string route;
-  uint64_t object = 0;  // hash of the requested object; 0: none
-  RegionFilter regions;
-  Duration objective{};
-  Duration time_left{};  // until the timeout of the caller or the route
-  int priority = 0;      // 0 is the highest
-  bool idempotent = false;
-  bool has_large_responses = false;  // as configured for the route
-  bool is_retry = false;             // the caller was refused before
-  std::vector<std::string> tried;    // instances already tried
-};
-
-enum class PlacementRefusal : uint8_t {
-  kNoInstance,  // no usable instance
-  kNoCapacity,  // all are full, or the response would be too late
-};
-
-// Why an instance was passed over for a request.
-enum class RejectionCause : uint8_t {
-  kColdRate,  // the rate that it sustains while cold is used up
-  kDeadline,  // the response would miss the deadline
-  kFull,      // its queue is full or it has just shed a request
-  kColdRun,   // a cold run there would displace several warm ones
-  kLate,      // the response would be later than a full region accepts
-  kLeaving,   // it has said that it is about to end
-  kWaiting,   // it has asked for a pause
-  kLimited,   // the limit that it has named is used up
-  kCount,
-};
-const char* RejectionCauseName(RejectionCause cause);
-
-// The inputs of a refusal, for logs and metrics.
-struct RefusalDetails {
-  // Number of instances by the cause of their rejection.
-  std::array<uint32_t, static_cast<size_t>(RejectionCause::kCount)> rejected{};
-  // Earliest expected response among the instances rejected as late, and the
-  // latest that would have been accepted there.
-  Duration expected{};
-  Duration allowed{};
-  bool is_time_measured = false;  // of the route; false: defaults
-
-  void Count(RejectionCause cause) { ++rejected[static_cast<size_t>(cause)]; }
-  // Returns the cause that applies to most instances.
-  RejectionCause MainCause() const;
-  friend bool operator==(const RefusalDetails&,
-                         const RefusalDetails&) = default;
-};
-
-struct PlacementChoice {
-  InstanceState* instance = nullptr;  // null: refused
-  PlacementRefusal reason = PlacementRefusal::kNoInstance;
-  Duration expected{};        // of the run alone
-  Duration expected_total{};  // including queue and network
-  bool is_warm = false;       // certain: it recently ran the object for this VM
-  bool is_remote = false;     // in another region
-  // Expected latency if the instance is healthy. A longer run is slow.
-  Duration healthy_latency{};
-  size_t rank = 0;         // in the order of the request's object
-  Duration retry_after{};  // of a refusal
-  // Load per slot of this region and of the others that led to a refusal.
-  double local_load = 0;
-  double remote_load = 0;
-  RefusalDetails details;
-};
-
-// Identifies a service's instances in one region.
-struct ServiceRegion {
-  std::string service;
-  std::string region;
-  friend bool operator==(const ServiceRegion&, const ServiceRegion&) = default;
-  friend auto operator<=>(const ServiceRegion&, const ServiceRegion&) = default;
-};
-// Requests in flight by service and region.
-using RegionLoads = std::map<ServiceRegion, double>;
-
 struct PlacementSettings {
   std::string region;  // of this VM
   double max_shift = 0.15;
   Duration cross_region_rtt = std::chrono::milliseconds(42);
   uint64_t pacing_seed = 0;  // of the VM, for cold instances
+  // False: mean run times decide everywhere, for comparisons.
+  bool is_cost_aware = true;
 };
 
 // Chooses the instance that a request is sent to. Every VM ranks the instances
@@ -176,6 +101,11 @@
   // Records the size of a route's response and the time of its run.
   void OnResponse(const std::string& service, const std::string& route,
                   size_t bytes, Duration run);
+  // Records a successful run that took `run` without its expected wait.
+  void OnRunEnded(const PlacementRequest& request, InstanceState* instance,
+                  ServiceTimeModel::Warmth warmth, TimePoint started_at,
+                  Duration run, TimePoint now);
+  const CostEstimator& costs() const { return costs_.estimator(); }
   const RegionSplit& split() const { return split_; }
 
  private:
@@ -217,6 +147,7 @@
     ServiceTimeModel::Times times;
     size_t warm_ranks = 0;
     RefusalDetails* details = nullptr;
+    CostEvaluation::Inputs* costs = nullptr;
   };
   std::optional<PlacementChoice> FindBest(Search search);
   ColdPacer::Pace PaceOf(const InstanceState& it, double cold_rate,
@@ -245,6 +176,7 @@
   InstanceRegistry* registry_;
   InstanceNotices* notices_;
   ServiceTimeModel service_times_;
+  CostEvaluation costs_;
   ColdPacer pacer_;
   size_t total_vms_ = 1;
   // Loads by service, recomputed at most every kLoadCacheInterval.
--- /dev/null
+++ b/src/traffic/placement_types.cc
@@ -0,0 +1,20 @@
+#include "traffic/placement_types.h"
+
+#include <algorithm>
+
+namespace rwf {
+
+const char* RejectionCauseName(RejectionCause cause) {
+  static constexpr std::array<const char*,
+                              static_cast<size_t>(RejectionCause::kCount)>
+      kNames = {"cold-rate", "deadline", "full",    "cold-run",
+                "late",      "leaving",  "waiting", "limited"};
+  return kNames[static_cast<size_t>(cause)];
+}
+
+RejectionCause RefusalDetails::MainCause() const {
+  const auto most = std::max_element(rejected.begin(), rejected.end());
+  return static_cast<RejectionCause>(most - rejected.begin());
+}
+
+}  // namespace rwf
--- /dev/null
+++ b/src/traffic/placement_types.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "traffic/catalog.h"
+#include "traffic/cost_estimator.h"
+#include "traffic/instance_registry.h"
+
+namespace rwf {
+
+// Requirements of a request on its instance.
+struct PlacementRequest {
+  std::string service;
+  std::string route;
+  uint64_t object = 0;  // hash of the requested object; 0: none
+  RegionFilter regions;
+  Duration objective{};
+  Duration time_left{};  // until the timeout of the caller or the route
+  int priority = 0;      // 0 is the highest
+  bool idempotent = false;
+  bool has_large_responses = false;  // as configured for the route
+  bool is_retry = false;             // the caller was refused before
+  std::vector<std::string> tried;    // instances already tried
+};
+
+enum class PlacementRefusal : uint8_t {
+  kNoInstance,  // no usable instance
+  kNoCapacity,  // all are full, or the response would be too late
+};
+
+// Why an instance was passed over for a request.
+enum class RejectionCause : uint8_t {
+  kColdRate,  // the rate that it sustains while cold is used up
+  kDeadline,  // the response would miss the deadline
+  kFull,      // its queue is full or it has just shed a request
+  kColdRun,   // a cold run there would displace several warm ones
+  kLate,      // the response would be later than a full region accepts
+  kLeaving,   // it has said that it is about to end
+  kWaiting,   // it has asked for a pause
+  kLimited,   // the limit that it has named is used up
+  kCount,
+};
+const char* RejectionCauseName(RejectionCause cause);
+
+// The inputs of a refusal, for logs and metrics.
+struct RefusalDetails {
+  // Number of instances by the cause of their rejection.
+  std::array<uint32_t, static_cast<size_t>(RejectionCause::kCount)> rejected{};
+  // Earliest expected response among the instances rejected as late, and the
+  // latest that would have been accepted there.
+  Duration expected{};
+  Duration allowed{};
+  bool is_time_measured = false;  // of the route; false: defaults
+
+  void Count(RejectionCause cause) { ++rejected[static_cast<size_t>(cause)]; }
+  // Returns the cause that applies to most instances.
+  RejectionCause MainCause() const;
+  friend bool operator==(const RefusalDetails&,
+                         const RefusalDetails&) = default;
+};
+
+struct PlacementChoice {
+  InstanceState* instance = nullptr;  // null: refused
+  PlacementRefusal reason = PlacementRefusal::kNoInstance;
+  Duration expected{};        // of the run alone
+  Duration expected_total{};  // including queue and network
+  bool is_warm = false;       // certain: it recently ran the object for this VM
+  bool is_remote = false;     // in another region
+  // Expected latency if the instance is healthy. A longer run is slow.
+  Duration healthy_latency{};
+  size_t rank = 0;         // in the order of the request's object
+  Duration retry_after{};  // of a refusal
+  // Load per slot of this region and of the others that led to a refusal.
+  double local_load = 0;
+  double remote_load = 0;
+  RefusalDetails details;
+  // What a run costs on a machine of usual speed.
+  RunCost cost;
+  // Set where run times are estimated by their distribution: the time that the
+  // upper quantile of the runs takes, and the cost for later requests there, in
+  // seconds.
+  std::optional<Duration> upper_total;
+  double harm = 0;
+};
+
+}  // namespace rwf
