Fire hedges by the upper quantile and report its accuracy

A hedge fired at 2.2 times the mean, which is late on a route whose runs differ. PlacementChoice gives the 0.95 quantile where the estimator is in effect, rwf_runs_within_estimate_ratio tells the share of runs within it by route, and a long_run line names runs beyond it.

--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -36,6 +36,12 @@
                .Name("rwf_broken_runs_total")
                .Help("Runs whose connection broke, by what they were taken for")
                .Register(registry_)),
+      runs_within_estimate_(
+          &prometheus::BuildGauge()
+               .Name("rwf_runs_within_estimate_ratio")
+               .Help(
+                   "Share of runs within the estimated 0.95 quantile by route")
+               .Register(registry_)),
       lookups_(&prometheus::BuildCounter()
                     .Name("rwf_lookups_total")
                     .Help("Look-ups served")
@@ -73,6 +79,12 @@
   refused_placements_->Add({{"cause", cause}}).Increment();
 }
 
+void Metrics::SetRunsWithinEstimate(const std::string& service,
+                                    const std::string& route, double share) {
+  runs_within_estimate_->Add({{"service", service}, {"route", route}})
+      .Set(share);
+}
+
 void Metrics::AddGauge(const std::string& name, const std::string& help,
                        std::function<double()> read) {
   prometheus::Gauge& gauge =
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -35,6 +35,10 @@
   // Counts a run whose connection broke, by what it was taken for.
   void CountBrokenRun(const std::string& verdict);
 
+  // Sets the share of a route's runs within the estimated upper quantile.
+  void SetRunsWithinEstimate(const std::string& service,
+                             const std::string& route, double share);
+
   // Registers a gauge whose value `read` supplies at each collection. Names of
   // values that only increase end in `_total`.
   void AddGauge(const std::string& name, const std::string& help,
@@ -49,6 +53,7 @@
   prometheus::Family<prometheus::Counter>* failures_;
   prometheus::Family<prometheus::Counter>* refused_placements_;
   prometheus::Family<prometheus::Counter>* broken_runs_;
+  prometheus::Family<prometheus::Gauge>* runs_within_estimate_;
   prometheus::Counter* lookups_;
   prometheus::Counter* retries_;
   std::map<std::pair<std::string, std::string>, prometheus::Counter*>
--- a/src/gateway/decision_log.cc
+++ b/src/gateway/decision_log.cc
@@ -43,4 +43,17 @@
   }
 }
 
+void LogLongRun(EventLog* log, const std::string& request_id,
+                const PlacementRequest& request, const std::string& instance,
+                const RunReport& report, Duration run) {
+  if (!report.is_in_effect || run <= report.upper) return;
+  log->Request("long_run", request_id)
+      .Text("instance", instance)
+      .Text("route", request.route)
+      .Millis("took_ms", run)
+      .Millis("upper_ms", report.upper)
+      .Real("factor", report.factor)
+      .Real("trust", report.trust);
+}
+
 }  // namespace rwf
--- a/src/gateway/decision_log.h
+++ b/src/gateway/decision_log.h
@@ -22,4 +22,10 @@
                          const PlacementRequest& request,
                          const PlacementChoice& refusal);
 
+// Logs a run beyond the upper quantile of its route, where runs are placed by
+// it.
+void LogLongRun(EventLog* log, const std::string& request_id,
+                const PlacementRequest& request, const std::string& instance,
+                const RunReport& report, Duration run);
+
 }  // namespace rwf
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -306,7 +306,8 @@
   if (it->send_count >= it->route->max_attempts) return;
   const Duration delay = std::max(
       kMinHedgeDelay,
-      FromSeconds(ToSeconds(choice.expected_total) * kHedgeDelayFactor));
+      choice.upper_total.value_or(
+          FromSeconds(ToSeconds(choice.expected_total) * kHedgeDelayFactor)));
   const CallerId caller = it->caller;
   it->hedge_timer =
       deps_.loop->After(delay, [this, caller] { OnHedgeTimer(caller); });
@@ -408,9 +409,13 @@
     deps_.placement->OnResponse(it->placement_request.service, it->route->name,
                                 result.response.body.size(), run);
     if (state != nullptr && !state->IsCold(now)) {
-      deps_.placement->OnRunEnded(it->placement_request, state,
-                                  WarmthOf(*it, attempt), attempt.started_at,
-                                  run, now);
+      const RunReport report = deps_.placement->OnRunEnded(
+          it->placement_request, state, WarmthOf(*it, attempt),
+          attempt.started_at, run, now);
+      deps_.metrics->SetRunsWithinEstimate(
+          it->placement_request.service, it->route->name, report.share_within);
+      LogLongRun(deps_.log, it->request_id, it->placement_request,
+                 attempt.instance, report, run);
     }
     Respond(it, result.response, attempt.instance);
     return;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -63,7 +63,8 @@
   // deadline.
   static constexpr Duration kDeadlineMargin = std::chrono::milliseconds(40);
   // A hedge attempt is sent once the first attempt has taken this many times
-  // its expected latency, but not before kMinHedgeDelay.
+  // its expected latency, or the upper quantile where that is estimated, but
+  // not before kMinHedgeDelay.
   static constexpr double kHedgeDelayFactor = 2.2;
   static constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(350);
   // Hedge attempts stop once this fraction of the retry budget is used; the
--- a/src/traffic/cost_evaluation.cc
+++ b/src/traffic/cost_evaluation.cc
@@ -11,6 +11,8 @@
 // A run whose expected wait is above this ratio of the time from sending to the
 // response tells little of the run itself.
 constexpr double kMaxWaitRatio = 0.2;
+// Runs that a distribution must be based on to judge a machine by it.
+constexpr double kMinJudgingWeight = 10;
 // Distance of the seeds of two decisions: above the number of instances.
 constexpr uint64_t kSeedStep = 1 << 16;
 
@@ -73,11 +75,11 @@
   }
 }
 
-Duration CostEvaluation::OnRunEnded(const PlacementRequest& request,
-                                    InstanceState* instance,
-                                    ServiceTimeModel::Warmth warmth,
-                                    TimePoint started_at, Duration run,
-                                    TimePoint now) {
+RunReport CostEvaluation::OnRunEnded(const PlacementRequest& request,
+                                     InstanceState* instance,
+                                     ServiceTimeModel::Warmth warmth,
+                                     TimePoint started_at, Duration run,
+                                     TimePoint now) {
   MachineFactor* machine = instance->machine();
   if (machine->is_reported()) services_with_factors_.insert(request.service);
   const double factor = machine->MeanSince(started_at, now);
@@ -92,13 +94,23 @@
   const RunKind kind = estimator_.Record(
       request.service, request.route, request.objective, warmth, request.object,
       usual / unexplained, is_exact, now);
-  const RunCost cost = estimator_
-                           .Estimate(request.service, request.route,
-                                     request.objective, request.object)
-                           .Of(kind);
-  machine->OnRun(ToSeconds(run) / (cost.ratio * cost.distribution->median()),
-                 is_exact, started_at, now);
-  return factor == 1 ? run : FromSeconds(usual);
+  const CostEstimator::RouteCosts costs = estimator_.Estimate(
+      request.service, request.route, request.objective, request.object);
+  const RunCost cost = costs.Of(kind);
+  // A prior says nothing about the machine.
+  if (cost.distribution->weight() >= kMinJudgingWeight) {
+    machine->OnRun(ToSeconds(run) / (cost.ratio * cost.distribution->median()),
+                   is_exact, started_at, now);
+  }
+  RunReport out;
+  out.usual = factor == 1 ? run : FromSeconds(usual);
+  out.upper = FromSeconds(cost.upper() * factor);
+  out.factor = factor;
+  out.trust = machine->trust();
+  out.share_within =
+      estimator_.ShareWithinUpper(request.service, request.route);
+  out.is_in_effect = costs.is_uneven || machine->is_reported();
+  return out;
 }
 
 }  // namespace rwf
--- a/src/traffic/cost_evaluation.h
+++ b/src/traffic/cost_evaluation.h
@@ -51,11 +51,10 @@
   static void Evaluate(Inputs* inputs, bool may_be_warm, double cold_factor,
                        Duration network, TimePoint now,
                        PlacementChoice* choice);
-  // Records a successful run that took `run` without its expected wait. Returns
-  // its time on a machine of usual speed.
-  Duration OnRunEnded(const PlacementRequest& request, InstanceState* instance,
-                      ServiceTimeModel::Warmth warmth, TimePoint started_at,
-                      Duration run, TimePoint now);
+  // Records a successful run that took `run` without its expected wait.
+  RunReport OnRunEnded(const PlacementRequest& request, InstanceState* instance,
+                       ServiceTimeModel::Warmth warmth, TimePoint started_at,
+                       Duration run, TimePoint now);
   const CostEstimator& estimator() const { return estimator_; }
 
  private:
--- a/src/traffic/machine_factor.cc
+++ b/src/traffic/machine_factor.cc
@@ -39,7 +39,8 @@
     // A single run differs for other reasons too, so neither direction is cut
     // off at once; that would pull the trust away from both ends.
     const double explained = std::clamp(log_ratio / log_factor, -0.5, 1.5);
-    const double gain = kTrustGain * std::min(1.0, std::abs(log_factor));
+    const double square = log_factor * log_factor;
+    const double gain = square / (square + kTrustNoise);
     trust_ = std::clamp(trust_ + gain * (explained - trust_), 0.0, 1.0);
   }
   // A long run counts less than a short one, since more than the instance may
--- a/src/traffic/machine_factor.h
+++ b/src/traffic/machine_factor.h
@@ -16,9 +16,10 @@
   static constexpr Duration kHalfLife = std::chrono::milliseconds(300);
   static constexpr Duration kMeanHalfLife = std::chrono::seconds(2);
   static constexpr Duration kMeanRetention = std::chrono::seconds(1);
-  // Weight of one run in the trust, and the distance of a factor from 1 below
-  // which a run says nothing about it (as a logarithm).
-  static constexpr double kTrustGain = 0.3;
+  // Variance of single runs against which a factor is weighed in the trust, and
+  // the distance of a factor from 1 below which a run says nothing about it (as
+  // logarithms). One run tells much of a factor of 8 and little of one of 1.5.
+  static constexpr double kTrustNoise = 4;
   static constexpr double kMinJudgedLog = 0.22;
   // Half-life of the slowness that reports do not explain. Runs count up to
   // this weight, against the assumption of a usual instance with the other
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -475,13 +475,16 @@
   mean += kResponseSizeGain * (static_cast<double>(bytes) - mean);
 }
 
-void Placement::OnRunEnded(const PlacementRequest& request,
-                           InstanceState* instance,
-                           ServiceTimeModel::Warmth warmth,
-                           TimePoint started_at, Duration run, TimePoint now) {
-  const Duration usual =
+RunReport Placement::OnRunEnded(const PlacementRequest& request,
+                                InstanceState* instance,
+                                ServiceTimeModel::Warmth warmth,
+                                TimePoint started_at, Duration run,
+                                TimePoint now) {
+  const RunReport out =
       costs_.OnRunEnded(request, instance, warmth, started_at, run, now);
-  service_times_.OnResponse(request.route, request.objective, warmth, usual);
+  service_times_.OnResponse(request.route, request.objective, warmth,
+                            out.usual);
+  return out;
 }
 
 void Placement::UpdateRegionSplit(
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -102,9 +102,9 @@
   void OnResponse(const std::string& service, const std::string& route,
                   size_t bytes, Duration run);
   // Records a successful run that took `run` without its expected wait.
-  void OnRunEnded(const PlacementRequest& request, InstanceState* instance,
-                  ServiceTimeModel::Warmth warmth, TimePoint started_at,
-                  Duration run, TimePoint now);
+  RunReport OnRunEnded(const PlacementRequest& request, InstanceState* instance,
+                       ServiceTimeModel::Warmth warmth, TimePoint started_at,
+                       Duration run, TimePoint now);
   const CostEstimator& costs() const { return costs_.estimator(); }
   const RegionSplit& split() const { return split_; }
 
--- a/src/traffic/placement_types.h
+++ b/src/traffic/placement_types.h
@@ -88,4 +88,15 @@
   double harm = 0;
 };
 
+// How a run compares with what is estimated of its route.
+struct RunReport {
+  Duration usual{};           // its time on a machine of usual speed
+  Duration upper{};           // the upper quantile on this machine
+  double factor = 1;          // of the machine during the run
+  double trust = 1;           // in what the instance reports of its machine
+  double share_within = 0;    // of the route's runs, within the upper quantile
+  bool is_in_effect = false;  // whether such runs are placed by the estimate
+  friend bool operator==(const RunReport&, const RunReport&) = default;
+};
+
 }  // namespace rwf
--- a/tests/traffic/cost_placement_test.cc
+++ b/tests/traffic/cost_placement_test.cc
@@ -149,5 +149,45 @@
   }
 }
 
+// Guards against hedges by a multiple of the mean where the quantile is known,
+// and by a quantile where it is not in effect.
+TEST_CASE("Cost-aware placement, upper quantile, is given where in effect") {
+  constexpr TimePoint kStart{std::chrono::hours(1)};
+  InstanceRegistry registry;
+  InstanceInfo info;
+  info.id = "i";
+  info.service = "s";
+  info.region = "home";
+  info.slots = 4;
+  InstanceState* it = registry.Put(info, kStart);
+  Placement placement({.region = "home"}, &registry);
+  PlacementRequest request;
+  request.service = "s";
+  request.route = "r";
+  request.objective = milliseconds(600);
+  request.time_left = std::chrono::seconds(4);
+  CHECK_FALSE(placement.Choose(request, 0, 1, kStart).upper_total);
+  TimePoint now = kStart;
+  RunReport report;
+  for (int n = 0; n <= 200; ++n) {
+    // The last run takes twice as long on a machine that reports it.
+    const int factor = n == 200 ? 2 : 1;
+    it->machine()->OnReport(factor, now);
+    report = placement.OnRunEnded(
+        request, it, ServiceTimeModel::Warmth::kNoObject, now,
+        factor * milliseconds(200 + n % 20 * 10), now);
+    now += milliseconds(500);
+  }
+  CHECK(report.is_in_effect);
+  CHECK(report.factor == 2);
+  CHECK(ToSeconds(report.usual) == doctest::Approx(0.2));
+  it->machine()->OnReport(1, now);
+  const PlacementChoice choice = placement.Choose(request, 0, 1, now);
+  REQUIRE(choice.upper_total);
+  CHECK(ToSeconds(choice.expected_total) ==
+        doctest::Approx(0.295).epsilon(0.1));
+  CHECK(ToSeconds(*choice.upper_total) == doctest::Approx(0.385).epsilon(0.1));
+}
+
 }  // namespace
 }  // namespace rwf
