--- a/bench/traffic_bench.cc
+++ b/bench/traffic_bench.cc
@@ -12,7 +12,8 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
 // One placement decision among instances in three regions, of which a part of
-// 0 to 100 percent names a rate limit.
+// 0 to 100 percent names a rate limit. With a third argument of 1, all report
+// the speed of their machines.
 void BmChoose(benchmark::State& state) {
   InstanceRegistry registry;
   InstanceNotices notices;
@@ -28,7 +29,8 @@
     info.region = "region-" + std::to_string(n % 3);
     info.zone = info.region + "-a";
     info.slots = 6;
-    registry.Put(info, kStart);
+    InstanceState* it = registry.Put(info, kStart);
+    if (state.range(2) == 1) it->machine()->OnReport(1.5, kStart);
     if (n % 100 < state.range(1)) notices.OnResponse(info, limit, kStart);
   }
   Placement placement({"region-0"}, &registry, &notices);
@@ -55,8 +57,15 @@
     benchmark::DoNotOptimize(choice);
   }
 }
-BENCHMARK(BmChoose)->Args({16, 0})->Args({152, 0})->Args({324, 0})->Args({324,
-                                                                          70});
+BENCHMARK(BmChoose)
+    ->Args({16, 0, 0})
+    ->Args({152, 0, 0})
+    ->Args({324, 0, 0})
+    ->Args({324, 70, 0})
+    ->Args({100, 0, 1})
+    ->Args({324, 0, 1})
+    ->Args({628, 0, 1})
+    ->Args({3000, 0, 1});
 
 // One admission while 24 peers report.
 void BmAdmit(benchmark::State& state) {
