--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -4,12 +4,12 @@
 #include <strings.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <ctime>
 
 #include "base/hash.h"
 #include "gateway/decision_log.h"
+#include "gateway/load_report.h"
 #include "gateway/result_classifier.h"
 
 namespace rwf {
@@ -354,7 +354,8 @@
   if (it->send_count >= it->route->max_attempts) return;
   const Duration delay = std::max(
       kMinHedgeDelay,
-      FromSeconds(ToSeconds(choice.expected_total) * kHedgeDelayFactor));
+      choice.upper_total.value_or(
+          FromSeconds(ToSeconds(choice.expected_total) * kHedgeDelayFactor)));
   const ExchangeId id = it->id;
   it->hedge_timer = deps_.loop->After(delay, [this, id] { OnHedgeTimer(id); });
 }
@@ -388,17 +389,12 @@
                                  TimePoint now) {
   InstanceState* state = deps_.registry->Find(instance);
   if (state == nullptr) return;
-  const std::string& load_header =
-      response.headers.Get(deps_.header_names->load);
-  std::array<int64_t, 2> load{};
-  const char* cursor = load_header.data();
-  const char* end = cursor + load_header.size();
-  for (int64_t& it : load) {
-    const auto [next, ec] = std::from_chars(cursor, end, it);
-    if (ec != std::errc() || next == end) return;
-    cursor = next + 1;
-  }
-  state->OnReport(load[0], load[1], now);
+  const std::optional<LoadReport> report =
+      ParseLoadReport(response.headers.Get(deps_.header_names->load));
+  if (!report) return;
+  state->OnReport(report->running, report->waiting, now);
+  if (report->machine_factor)
+    state->machine()->OnReport(*report->machine_factor, now);
 }
 
 ServiceTimeModel::Warmth Forwarder::WarmthOf(const Exchange& it,
@@ -460,8 +456,13 @@
     deps_.placement->OnResponse(it->placement_request.service, it->route->name,
                                 result.response.body.size(), run);
     if (state != nullptr && !state->IsCold(now)) {
-      deps_.placement->service_times()->OnResponse(
-          it->route->name, it->route->objective, WarmthOf(*it, attempt), run);
+      const RunReport report = deps_.placement->OnRunEnded(
+          it->placement_request, state, WarmthOf(*it, attempt),
+          attempt.started_at, run, now);
+      deps_.metrics->SetRunsWithinEstimate(
+          it->placement_request.service, it->route->name, report.share_within);
+      LogLongRun(deps_.log, it->request_id, it->placement_request,
+                 attempt.instance, report, run);
     }
     Respond(it, result.response, attempt.instance);
     return;
