--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -249,7 +249,9 @@
     }
   }
   signal_probed.emit(vm, ec, attempt->started_at());
-  if (ec && is_for_link) signal_down.emit(vm, ec == NetErrc::kConnectRefused);
+  // The peer's own dial may have brought the link up meanwhile.
+  if (ec && is_for_link && !HasLink(vm))
+    signal_down.emit(vm, ec == NetErrc::kConnectRefused);
 }
 
 }  // namespace rwf
--- a/src/net/peer_links.h
+++ b/src/net/peer_links.h
@@ -82,8 +82,8 @@
   uint64_t total_bytes() const;
 
   sigc::signal<void(const std::string& vm, uint64_t incarnation)> signal_up;
-  // A link broke, or a dial failed. `refused`: the kernel of the peer refused
-  // the connection.
+  // A link broke, or a dial failed while there was no link. `refused`: the
+  // kernel of the peer refused the connection.
   sigc::signal<void(const std::string& vm, bool refused)> signal_down;
   sigc::signal<void(const std::string& vm, const wire::MessageT& message)>
       signal_message;
--- a/tests/net/peer_links_test.cc
+++ b/tests/net/peer_links_test.cc
@@ -1,6 +1,9 @@
 #include "net/peer_links.h"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -81,6 +84,67 @@
   CHECK_FALSE(b->HasLink("a"));
 }
 
+// A listener on loopback whose queue is full, so that connections to it hang.
+class FullListener {
+ public:
+  FullListener() {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* address = reinterpret_cast<sockaddr*>(&to);
+    socklen_t n = sizeof(to);
+    sockets_.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    REQUIRE(bind(sockets_[0], address, n) == 0);
+    REQUIRE(listen(sockets_[0], 0) == 0);
+    getsockname(sockets_[0], address, &n);
+    port_ = ntohs(to.sin_port);
+    for (int k = 0; k < 4; ++k) {
+      sockets_.push_back(
+          socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      connect(sockets_.back(), address, n);
+    }
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+  ~FullListener() {
+    for (const int it : sockets_) close(it);
+  }
+  uint16_t port() const { return port_; }
+
+ private:
+  std::vector<int> sockets_;
+  uint16_t port_ = 0;
+};
+
+// Both sides dial during a partition. Guards against a link that counts as down
+// for good because the dial of this side timed out after the peer's dial had
+// brought the link up.
+TEST_CASE_FIXTURE(LinksFixture,
+                  "PeerLinks, dial fails after the peer's dial linked, keeps "
+                  "the link up") {
+  auto a = Make("a", 1);
+  auto b = Make("b", 2);
+  const FullListener full;
+  const uint16_t port_a = a->Listen("127.0.0.1", 0).value();
+  std::vector<std::string> states;
+  a->signal_up.connect(
+      [&](const std::string&, uint64_t) { states.emplace_back("up"); });
+  a->signal_down.connect(
+      [&](const std::string&, bool) { states.emplace_back("down"); });
+  int failed = 0;
+  a->signal_probed.connect([&](const std::string&, std::error_code ec,
+                               TimePoint) { failed += ec ? 1 : 0; });
+  a->SetAddresses({{"b", "127.0.0.1", full.port()}});
+  a->SetWanted({"b"});
+  const auto timer = loop.After(milliseconds(300), [&] {
+    b->SetAddresses({{"a", "127.0.0.1", port_a}});
+    b->SetWanted({"a"});
+  });
+  REQUIRE(RunUntil([&] { return failed > 0; }));
+  CHECK(a->HasLink("b"));
+  CHECK(states == std::vector<std::string>{"up"});
+}
+
 // A refused connection proves that no process listens, so that another VM may
 // use the share. Guards against taking a missing response for that proof.
 TEST_CASE_FIXTURE(LinksFixture,
