Let each VM's part of a limit be refilled by the keeper it chooses

A longer time-out alone isn't enough: where a VM hears both sides, both counted its part. A VM now counts while its entry exists and 6 s after, and each report names the peers that its sender does not hear, from which a keeper knows whose part it may refill. The link of a peer is read from PeerLinks, and an entry older than the linked process does not replace it. The virtual fleet has a store with leases, cuts of single paths in one direction, slow paths and failed renewals.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -5,19 +5,12 @@
 #include <algorithm>
 #include <set>
 
-#include "base/digest.h"
-#include "base/json_reader.h"
-#include "config/ipv4.h"
-
 namespace rwf {
 namespace {
 
 // Cluster name in the link handshake. All VMs that share a store form one
 // fleet.
 constexpr const char* kClusterName = "fleet";
-// Upper bounds of the capacities in an entry, far above those of present VMs.
-constexpr double kMaxLinkMbps = 1e7;
-constexpr double kMaxCpuShare = 1024;
 
 using WireUses = std::vector<std::unique_ptr<wire::LimitUseT>>;
 
@@ -71,41 +64,6 @@
 
 }  // namespace
 
-std::string FormatFleetVm(const FleetVm& vm) {
-  return Json{{"zone", vm.zone},
-              {"region", vm.region},
-              {"address", vm.address},
-              {"front_port", vm.front_port},
-              {"peer_port", vm.peer_port},
-              {"incarnation", vm.incarnation},
-              {"link_mbps", vm.capacity.link_mbps},
-              {"cpu_share", vm.capacity.cpu_share}}
-      .dump();
-}
-
-Result<FleetVm> ParseFleetVm(const std::string& vm, const std::string& text) {
-  Result<Json> json = ParseJson(text, vm);
-  if (!json) return tl::unexpected<Error>(json.error());
-  std::vector<JsonProblem> problems;
-  JsonReader reader(*json, "", &problems);
-  FleetVm out;
-  out.vm = vm;
-  out.zone = reader.String("zone");
-  out.region = reader.String("region");
-  out.address = reader.String("address");
-  out.front_port =
-      static_cast<uint16_t>(reader.Integer("front_port", 1, 65535));
-  out.peer_port = static_cast<uint16_t>(reader.Integer("peer_port", 1, 65535));
-  out.incarnation =
-      static_cast<uint64_t>(reader.Integer("incarnation", 0, INT64_MAX));
-  out.capacity.link_mbps = reader.Number("link_mbps", 0, kMaxLinkMbps, 0);
-  out.capacity.cpu_share = reader.Number("cpu_share", 0, kMaxCpuShare, 0);
-  if (!ParseIpv4(out.address)) reader.AddProblem("address", "is not IPv4");
-  if (!problems.empty())
-    return Fail(JsonErrc::kSchema, FormatProblems(problems));
-  return out;
-}
-
 Fleet::Fleet(EventLoop* loop, FleetVm self, WorkspaceLimiter* limiter,
              InstanceNotices* notices, EventLog* log)
     : loop_(loop),
@@ -124,17 +82,20 @@
   links_->signal_up.connect([this](const std::string& vm, uint64_t) {
     const auto it = peers_.find(vm);
     if (it == peers_.end()) return;
-    it->second.has_link = true;
     it->second.last_report_at = EventLoop::Now();
     it->second.is_connection_refused = false;
     // A VM that has just started keeps no limits and may use only a small share
     // of those of instances until it has received reports of its peers.
     wire::BodyUnion body;
-    body.Set(MakeReport(ReportKind::kFirstOnLink));
+    wire::FleetReportT report = MakeReport(ReportKind::kFirstOnLink);
+    // The list may be from before this link.
+    std::erase(report.passed_over, vm);
+    body.Set(std::move(report));
     links_->Send(vm, std::move(body));
     // The limiter counts the usage in this report as reported, so the other
     // peers get it with a full report next.
     reports_since_full_ = kReportsPerFullReport;
+    it->second.was_linked = true;
     log_->State("peer_up").Text("peer", vm);
     signal_peer_up.emit(vm);
   });
@@ -142,12 +103,13 @@
     const auto it = peers_.find(vm);
     if (it == peers_.end()) return;
     Peer& peer = it->second;
-    if (peer.has_link || (refused && !peer.is_connection_refused)) {
+    if (peer.was_linked || (refused && !peer.is_connection_refused)) {
       log_->State("peer_down").Text("peer", vm).Flag("refused", refused);
     }
-    peer.has_link = false;
+    peer.was_linked = false;
     peer.has_report = false;
-    peer.is_connection_refused = peer.is_connection_refused || refused;
+    peer.passed_over = nullptr;
+    peer.is_connection_refused = refused;
   });
   links_->signal_message.connect(
       [this](const std::string& vm, const wire::MessageT& message) {
@@ -161,16 +123,17 @@
 void Fleet::OnListed(const FleetVm& vm) {
   if (vm.vm == self_.vm) return;
   Peer& peer = peers_[vm.vm];
+  peer.is_listed = true;
+  // A late write of a former process: the entry of the linked one returns.
+  if (links_ != nullptr && links_->IncarnationOf(vm.vm) > vm.incarnation &&
+      peer.info.vm == vm.vm)
+    return;
   if (peer.info.incarnation != vm.incarnation) {
     peer = Peer{};
-    peer.heard_at = EventLoop::Now();
-    // The link to a new process may be up before its entry is known.
-    peer.has_link =
-        links_ != nullptr && links_->IncarnationOf(vm.vm) == vm.incarnation;
-    if (peer.has_link) peer.last_report_at = peer.heard_at;
+    peer.was_linked = links_ != nullptr && links_->HasLink(vm.vm);
+    peer.last_report_at = EventLoop::Now();
   }
   peer.info = vm;
-  peer.is_listed = true;
   UpdateLinks();
 }
 
@@ -179,7 +142,7 @@
   if (it == peers_.end()) return;
   it->second.is_listed = false;
   it->second.unlisted_at = EventLoop::Now();
-  if (!it->second.has_link && it->second.is_connection_refused) {
+  if (!HasLink(it->second) && it->second.is_connection_refused) {
     peers_.erase(it);
     UpdateLinks();
   }
@@ -193,6 +156,7 @@
     addresses.push_back({vm, it.info.address, it.info.peer_port});
   }
   notices_->limiter()->SetReportPeriod(ReportPeriod());
+  limiter_->SetReportDelay(ReportPeriod() / 2 + kReportDelayMargin);
   notices_->limiter()->SetPeers(names, EventLoop::Now());
   if (links_ == nullptr) return;
   links_->SetAddresses(addresses);
@@ -213,7 +177,7 @@
   // All VMs of a region choose the same VM: the first by name.
   for (const auto& [vm, it] : peers_) {
     if (own_.may_relay && self_.vm < vm) return "";
-    if (it.info.region != self_.region || !it.has_link || !it.may_relay)
+    if (it.info.region != self_.region || !HasLink(it) || !it.may_relay)
       continue;
     if (it.has_report && now - it.last_report_at < relay_timeout) return vm;
   }
@@ -230,6 +194,13 @@
   return std::max(kMinReportPeriod, paced_period);
 }
 
+// The link to a new process may be up before its entry is known, and that of
+// the former process may still be open when the new entry is.
+bool Fleet::HasLink(const Peer& it) const {
+  return links_ != nullptr && links_->HasLink(it.info.vm) &&
+         links_->IncarnationOf(it.info.vm) >= it.info.incarnation;
+}
+
 bool Fleet::HasRecentReport(const Peer& it, TimePoint now) const {
   const Duration timeout =
       std::max(kReportTimeout, ReportPeriod() * kReportTimeoutPeriods);
@@ -244,7 +215,7 @@
   const TimePoint now = EventLoop::Now();
   std::vector<std::string> departed;
   for (const auto& [vm, it] : peers_) {
-    if (it.is_listed || it.has_link) continue;
+    if (it.is_listed || HasLink(it)) continue;
     if (it.is_connection_refused ||
         now - it.unlisted_at > kDepartedPeerRetention)
       departed.push_back(vm);
@@ -257,10 +228,14 @@
   const Duration link_timeout =
       std::max(kLinkTimeout, ReportPeriod() * kLinkTimeoutPeriods);
   for (const auto& [vm, it] : peers_) {
-    if (it.has_link && now - it.last_report_at > link_timeout)
+    if (HasLink(it) && now - it.last_report_at > link_timeout)
       links_->Close(vm);
   }
-  if (now - last_report_sent_at_ >= ReportPeriod() - kMinReportPeriod / 4)
+  // A changed list of VMs that are passed over as keepers decides which part of
+  // the rates is used, so it is sent earlier.
+  const bool is_urgent = limiter_->passed_over() != reported_passed_over_;
+  const Duration period = is_urgent ? ReportPeriod() / 2 : ReportPeriod();
+  if (now - last_report_sent_at_ >= period - kMinReportPeriod / 4)
     SendReports();
 }
 
@@ -290,6 +265,12 @@
       std::clamp<int64_t>(ToMillis(limiter_->KeptFor(now)),
                           limiter_->is_settled() ? 1 : 0, UINT32_MAX));
   report.scarce_limits = limiter_->ScarceLimits(now);
+  report.unregistered = !limiter_->is_registered();
+  const auto& passed_over = limiter_->passed_over();
+  report.has_passed_over = is_full || passed_over != reported_passed_over_;
+  if (report.has_passed_over)
+    report.passed_over = {passed_over->begin(), passed_over->end()};
+  if (kind != ReportKind::kFirstOnLink) reported_passed_over_ = passed_over;
   report.instance_uses = ToWire(notices_->limiter()->Report(is_full, now));
   for (const SharedNotice& it :
        notices_->Share(kind == ReportKind::kFirstOnLink, now))
@@ -336,13 +317,18 @@
   std::vector<LimitPeer> out;
   for (const auto& [vm, it] : peers_) {
     LimitPeer peer{vm};
-    peer.can_keep = it.has_link && HasRecentReport(it, now) && it.ready &&
+    peer.can_keep = HasLink(it) && HasRecentReport(it, now) && it.ready &&
                     it.limits_kept > Duration::zero() && !it.leaving;
     peer.kept_for = it.limits_kept;
+    peer.is_unregistered = it.is_unregistered;
+    peer.passed_over = it.passed_over;
     peer.is_heard =
-        it.has_link && it.has_report && now - it.last_report_at < OverdueTime();
+        HasLink(it) && it.has_report && now - it.last_report_at < OverdueTime();
+    // Silence is not absence: a VM that this one doesn't hear may still reach
+    // the store and serve requests.
     peer.may_admit =
-        !it.is_connection_refused && now - it.heard_at < kAdmissionTimeout;
+        !it.is_connection_refused &&
+        (it.is_listed || now - it.unlisted_at < kDepartedPeerRetention);
     out.push_back(std::move(peer));
   }
   return out;
@@ -354,9 +340,13 @@
   const TimePoint now = EventLoop::Now();
   Peer& peer = it->second;
   peer.last_report_at = now;
-  peer.heard_at = now;
   peer.has_report = true;
   peer.limits_kept = std::chrono::milliseconds(report.limits_kept_ms);
+  peer.is_unregistered = report.unregistered;
+  if (report.has_passed_over) {
+    peer.passed_over = std::make_shared<const std::set<std::string>>(
+        report.passed_over.begin(), report.passed_over.end());
+  }
   peer.ready = report.ready;
   peer.leaving = report.leaving;
   peer.keys_fresh = report.keys_fresh;
@@ -470,7 +460,7 @@
 bool Fleet::HasLinks(size_t n) const {
   return static_cast<size_t>(std::count_if(
              peers_.begin(), peers_.end(),
-             [](const auto& it) { return it.second.has_link; })) >= n;
+             [this](const auto& it) { return HasLink(it.second); })) >= n;
 }
 
 size_t Fleet::VmsInRegion() const {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,9 +67,10 @@
   // fleet whose reports are overdue keeps its part of the limits of workspaces.
   static constexpr double kOverduePeriods = 1.5;
   static constexpr Duration kOverdueMargin = std::chrono::milliseconds(200);
-  // A VM that has not been heard for this long admits no requests under a limit
-  // any more: they need a key, and its keys are no longer confirmed.
-  static constexpr Duration kAdmissionTimeout = std::chrono::seconds(5);
+  // Time between the moment at which a VM notices that a peer is silent and the
+  // reports of the others on it, beyond half a report period: ticks, and the
+  // delay between regions.
+  static constexpr Duration kReportDelayMargin = std::chrono::milliseconds(300);
 
   Fleet(EventLoop* loop, FleetVm self, WorkspaceLimiter* limiter,
         InstanceNotices* notices, EventLog* log);
@@ -148,8 +150,9 @@
     FleetVm info;
     bool is_listed = true;
     TimePoint unlisted_at{};
-    bool has_link = false;
-    bool is_connection_refused = false;  // no process is listening
+    bool was_linked = false;  // as last logged
+    // No process was listening at the latest dial.
+    bool is_connection_refused = false;
     TimePoint last_report_at{};
     bool has_report = false;
     bool ready = false;
@@ -157,10 +160,11 @@
     bool keys_fresh = false;
     bool may_relay = false;
     Duration limits_kept{};
+    bool is_unregistered = false;
+    // Not set for VMs of a version that does not report it.
+    std::shared_ptr<const std::set<std::string>> passed_over;
     Duration store_contact{};
     double requests_per_s = 0;
-    // The last sign of life, or the time since which one is missing.
-    TimePoint heard_at{};
     std::map<std::string, double> shares;
     RegionLoads loads;
   };
@@ -173,6 +177,7 @@
   wire::FleetReportT MakeReport(ReportKind kind);
   Duration ReportPeriod() const;
   Duration OverdueTime() const;
+  bool HasLink(const Peer& it) const;
   bool HasRecentReport(const Peer& it, TimePoint now) const;
   void Tick();
   bool IsUsable(const Peer& it, TimePoint now) const;
@@ -192,6 +197,7 @@
   std::map<std::string, double> shares_;
   RegionLoads loads_;
   TimePoint last_report_sent_at_{};
+  std::shared_ptr<const std::set<std::string>> reported_passed_over_;
   // Reports sent since the last full report.
   int reports_since_full_ = 0;
   std::unique_ptr<Timer> timer_;
--- a/src/traffic/limit_keeper.cc
+++ b/src/traffic/limit_keeper.cc
@@ -35,10 +35,18 @@
                 [&](const auto& it) { return !limited.contains(it.first); });
 }
 
-void LimitKeeper::SetReach(double fraction, TimePoint now) {
-  if (fraction == reach_) return;
-  for (auto& [name, bucket] : buckets_) Refill(&bucket, now);
-  reach_ = fraction;
+void LimitKeeper::SetParts(
+    const std::function<LimitPart(const std::string&, Keeping)>& part_of,
+    TimePoint now) {
+  for (auto& [name, bucket] : buckets_) {
+    const LimitPart part = part_of(name, bucket.keeping);
+    if (part == bucket.part) continue;
+    Refill(&bucket, now);
+    bucket.part = part;
+    // SetKept() has just begun to keep it, by the former part.
+    if (bucket.restarted_at == now)
+      bucket.level = std::min(bucket.level, InitialLevel(bucket));
+  }
 }
 
 std::vector<LimitClaim> LimitKeeper::SetKept(
@@ -80,7 +88,7 @@
 }
 
 double LimitKeeper::InitialLevel(const Bucket& bucket) const {
-  return kInitialFraction * Tolerance(bucket) * reach_;
+  return kInitialFraction * Tolerance(bucket) * bucket.part.capacity;
 }
 
 double LimitKeeper::Capacity(const Bucket& bucket) const {
@@ -108,13 +116,10 @@
   bucket->refilled_at = now;
   // One token may always be saved up, however few VMs are within reach:
   // otherwise a VM that is cut off could never spend its part of a small burst.
-  const double max_level = std::max(1.0, Capacity(*bucket) * reach_);
-  // Claims on a limit that this VM does not keep come from VMs that cannot
-  // reach its keeper.
-  const double part =
-      bucket->keeping == Keeping::kYes ? reach_ : reach_ * kUncertainFraction;
-  bucket->level =
-      std::min(max_level, bucket->level + bucket->rate * part * seconds);
+  const double max_level =
+      std::max(1.0, Capacity(*bucket) * bucket->part.capacity);
+  const double rate = bucket->rate * bucket->part.rate;
+  bucket->level = std::min(max_level, bucket->level + rate * seconds);
   UpdateScarcity(bucket);
 }
 
@@ -125,7 +130,8 @@
   if (bucket->level < threshold) {
     bucket->is_scarce = true;
   } else if (bucket->level >=
-             std::min(threshold * kPlentyFactor, Capacity(*bucket) * reach_)) {
+             std::min(threshold * kPlentyFactor,
+                      Capacity(*bucket) * bucket->part.capacity)) {
     bucket->is_scarce = false;
   }
 }
@@ -150,7 +156,7 @@
 }
 
 Duration LimitKeeper::Reserve(Bucket* bucket, TimePoint now) {
-  const double rate = std::max(kMinRate, bucket->rate * reach_);
+  const double rate = std::max(kMinRate, bucket->rate * bucket->part.rate);
   const TimePoint next_token =
       now + FromSeconds(std::max(0.0, (1 - bucket->level) / rate));
   const TimePoint at = std::max(next_token, bucket->next_token_at);
@@ -177,10 +183,7 @@
       continue;
     }
     Bucket& bucket = found->second;
-    const bool is_unexpected =
-        bucket.keeping == Keeping::kNo &&
-        now - bucket.claimed_at > kUnexpectedClaimsTimeout;
-    if (is_unexpected) Restart(&bucket, false, now);
+    if (!IsUsed(bucket, now)) Restart(&bucket, false, now);
     bucket.claimed_at = now;
     Refill(&bucket, now);
     if (it.handed_over) TakeOver(&bucket, *it.handed_over, now);
@@ -202,10 +205,17 @@
   return out;
 }
 
+// VMs that cannot reach the keeper of a limit send their claims here, and must
+// learn of scarcity too.
+bool LimitKeeper::IsUsed(const Bucket& bucket, TimePoint now) {
+  return bucket.keeping != Keeping::kNo ||
+         now - bucket.claimed_at <= kUnexpectedClaimsTimeout;
+}
+
 std::vector<std::string> LimitKeeper::ScarceLimits(TimePoint now) {
   std::vector<std::string> out;
   for (auto& [name, bucket] : buckets_) {
-    if (bucket.keeping == Keeping::kNo) continue;
+    if (!IsUsed(bucket, now)) continue;
     Refill(&bucket, now);
     if (bucket.is_scarce) out.push_back(name);
   }
@@ -215,7 +225,7 @@
 std::vector<LimitVerdict> LimitKeeper::TakeChanges(TimePoint now) {
   std::vector<LimitVerdict> out;
   for (auto& [name, bucket] : buckets_) {
-    if (bucket.keeping == Keeping::kNo) continue;
+    if (!IsUsed(bucket, now)) continue;
     Refill(&bucket, now);
     if (bucket.is_scarce == bucket.was_scarce) continue;
     bucket.was_scarce = bucket.is_scarce;
--- a/src/traffic/limit_keeper.h
+++ b/src/traffic/limit_keeper.h
@@ -19,6 +19,13 @@
   kUncertain,  // another VM may be keeping it as well
 };
 
+// What this VM may use of a limit, as fractions.
+struct LimitPart {
+  double capacity = 1;
+  double rate = 1;
+  friend bool operator==(const LimitPart&, const LimitPart&) = default;
+};
+
 // Keeps the token buckets of those workspaces whose limits this VM keeps for
 // the whole fleet.
 //
@@ -56,9 +63,11 @@
   // Applies the limits of a configuration. Known buckets keep their level.
   void SetLimits(const std::vector<TrafficWorkspace>& workspaces,
                  TimePoint now);
-  // Sets the fraction of the VMs that may admit requests whose claims reach
-  // this VM. The rest of a rate belongs to the others.
-  void SetReach(double fraction, TimePoint now);
+  // Sets which part of each limit belongs to the VMs that send their claims to
+  // this one. The rest belongs to the others.
+  void SetParts(
+      const std::function<LimitPart(const std::string&, Keeping)>& part_of,
+      TimePoint now);
   // Sets which limits this VM is to keep. Returns what the next keepers of the
   // others must know.
   std::vector<LimitClaim> SetKept(
@@ -80,10 +89,10 @@
   // Returns one verdict for each claim on a known limit.
   std::vector<LimitVerdict> OnClaims(const std::vector<LimitClaim>& claims,
                                      TimePoint now);
-  // Returns the scarce limits that this VM keeps.
+  // Returns the scarce limits on which claims come here.
   std::vector<std::string> ScarceLimits(TimePoint now);
-  // Returns the kept limits that have become scarce or plentiful since the last
-  // call.
+  // Returns the limits with claims here that have become scarce or plentiful
+  // since the last call.
   std::vector<LimitVerdict> TakeChanges(TimePoint now);
   size_t kept() const;
   double Level(const std::string& name, TimePoint now);
@@ -95,6 +104,7 @@
     double level = 0;
     TimePoint refilled_at{};
     Keeping keeping = Keeping::kNo;
+    LimitPart part;
     bool is_scarce = false;
     bool was_scarce = false;  // as of the last TakeChanges()
     bool awaits_handover = false;
@@ -102,6 +112,7 @@
     TimePoint claimed_at{};     // last claim of another VM
     TimePoint next_token_at{};  // not reserved by refused callers
   };
+  static bool IsUsed(const Bucket& bucket, TimePoint now);
   double Tolerance(const Bucket& bucket) const;
   double Capacity(const Bucket& bucket) const;
   double InitialLevel(const Bucket& bucket) const;
@@ -116,7 +127,6 @@
 
   std::map<std::string, Bucket> buckets_;
   LimitTolerance tolerance_;
-  double reach_ = 1;
 };
 
 }  // namespace rwf
--- a/src/traffic/limit_messages.h
+++ b/src/traffic/limit_messages.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -9,6 +11,22 @@
 
 namespace rwf {
 
+// Another VM of the fleet, as far as limits are concerned.
+struct LimitPeer {
+  std::string vm;
+  bool is_heard = false;   // it is linked and no report is overdue
+  bool can_keep = false;   // it is linked and keeps limits
+  Duration kept_for{};     // time for which it has kept limits
+  bool may_admit = false;  // it may be serving requests
+  // It has no confirmed entry in the store, and so no part of the rates unless
+  // all VMs choose the same keeper.
+  bool is_unregistered = false;
+  // The VMs that it does not hear and so does not take for keepers, as
+  // reported. A list that did not change is the same object.
+  std::shared_ptr<const std::set<std::string>> passed_over;
+  friend bool operator==(const LimitPeer&, const LimitPeer&) = default;
+};
+
 // Admissions permitted beyond rate and burst within a window, across all VMs.
 struct LimitTolerance {
   double ratio = 0;
--- a/src/traffic/workspace_limiter.cc
+++ b/src/traffic/workspace_limiter.cc
@@ -25,19 +25,57 @@
       peers.begin(), peers.end(), peers_.begin(), peers_.end(),
       [](const LimitPeer& a, const LimitPeer& b) {
         return a.vm == b.vm && a.is_heard == b.is_heard &&
-               a.can_keep == b.can_keep && a.may_admit == b.may_admit;
+               a.can_keep == b.can_keep && a.may_admit == b.may_admit &&
+               a.is_unregistered == b.is_unregistered &&
+               a.passed_over == b.passed_over;
       });
   peers_ = peers;
-  if (is_same) return;
-  size_t admitting = 1;
-  size_t reachable = 1;
+  if (!is_same) ChooseKeepers(now);
+}
+
+void WorkspaceLimiter::SetRegistered(bool is_registered, bool is_known_to_all,
+                                     TimePoint now) {
+  if (is_registered == is_registered_ && is_known_to_all == is_known_to_all_)
+    return;
+  is_registered_ = is_registered;
+  is_known_to_all_ = is_known_to_all;
+  UpdateParts(now);
+}
+
+void WorkspaceLimiter::UpdatePassedOver(TimePoint now) {
+  std::set<std::string> names;
   for (const LimitPeer& it : peers_) {
-    if (it.is_heard) ++reachable;
-    if (it.is_heard || it.may_admit) ++admitting;
+    if (!it.is_heard || silent_.contains(it.vm)) names.insert(it.vm);
   }
-  reach_ = static_cast<double>(reachable) / static_cast<double>(admitting);
-  if (was_settled_) keeper_.SetReach(reach_, now);
-  ChooseKeepers(now);
+  if (names == *passed_over_) return;
+  std::erase_if(passed_over_since_,
+                [&](const auto& it) { return !names.contains(it.first); });
+  for (const std::string& it : names) passed_over_since_.try_emplace(it, now);
+  passed_over_ =
+      std::make_shared<const std::set<std::string>>(std::move(names));
+}
+
+void WorkspaceLimiter::UpdateParts(TimePoint now) {
+  LimitVotes::Own own{self_, *passed_over_, {}, is_registered_};
+  parts_change_at_.reset();
+  for (const auto& [vm, since] : passed_over_since_) {
+    const TimePoint end = since + report_delay_;
+    if (end <= now) continue;
+    own.recently_passed_over.insert(vm);
+    parts_change_at_ = std::min(end, parts_change_at_.value_or(end));
+  }
+  // A VM that is cut off when it starts may be unknown to all others.
+  const bool hears_any =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [](const LimitPeer& it) { return it.is_heard; });
+  own.has_vote = is_registered_ && (hears_any || is_known_to_all_);
+  votes_ = LimitVotes(std::move(own), peers_);
+  if (!was_settled_) return;
+  keeper_.SetParts(
+      [this](const std::string& workspace, Keeping keeping) {
+        return votes_.PartOf(workspace, keeping);
+      },
+      now);
 }
 
 void WorkspaceLimiter::SetLeaving(bool is_leaving, TimePoint now) {
@@ -87,8 +125,10 @@
 
 void WorkspaceLimiter::ChooseKeepers(TimePoint now) {
   const auto former = std::exchange(keepers_, {});
+  UpdatePassedOver(now);
   std::vector<LimitClaim> given_up = keeper_.SetKept(
       [this](const std::string& it) { return KeepingOf(it); }, now);
+  UpdateParts(now);
   if (was_settled_) {
     for (LimitClaim& it : given_up) {
       const std::string keeper = KeeperOf(it.name);
@@ -215,7 +255,7 @@
 void WorkspaceLimiter::Settle(TimePoint now) {
   was_settled_ = true;
   settled_at_ = now;
-  keeper_.SetReach(reach_, now);
+  UpdateParts(now);
   const bool has_predecessors =
       std::any_of(peers_.begin(), peers_.end(), [](const LimitPeer& it) {
         return it.can_keep && it.kept_for >= LimitKeeper::kHandoverTime;
@@ -242,6 +282,7 @@
     ++counters_.timeouts;
   }
   if (has_new_silent) ChooseKeepers(now);
+  if (parts_change_at_ && now >= *parts_change_at_) UpdateParts(now);
   if (!was_settled_ && IsSettled(now)) Settle(now);
   if (was_settled_ && !is_deciding_ && now - settled_at_ >= kAnnounceTime)
     BeginDeciding(now);
--- a/src/traffic/workspace_limiter.h
+++ b/src/traffic/workspace_limiter.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -12,19 +14,10 @@
 #include "traffic/catalog.h"
 #include "traffic/limit_keeper.h"
 #include "traffic/limit_messages.h"
+#include "traffic/limit_votes.h"
 
 namespace rwf {
 
-// Another VM of the fleet, as far as limits are concerned.
-struct LimitPeer {
-  std::string vm;
-  bool is_heard = false;   // it is linked and no report is overdue
-  bool can_keep = false;   // it is linked and keeps limits
-  Duration kept_for{};     // time for which it has kept limits
-  bool may_admit = false;  // it may be serving requests
-  friend bool operator==(const LimitPeer&, const LimitPeer&) = default;
-};
-
 // Holds each workspace to its rate and burst across all VMs.
 //
 // One VM keeps the limit of a workspace, found by rendezvous hashing among the
@@ -94,6 +87,17 @@
                  TimePoint now);
   // Sets the other VMs. Must be called whenever a link comes up or goes down.
   void SetPeers(const std::vector<LimitPeer>& peers, TimePoint now);
+  // Sets whether this VM sees its own entry in the store and renews it, and
+  // whether all VMs that accept keys have seen the entry too.
+  void SetRegistered(bool is_registered, bool is_known_to_all, TimePoint now);
+  // Sets how long the other VMs may take to report that they pass over a VM.
+  void SetReportDelay(Duration delay) { report_delay_ = delay; }
+  // Returns the VMs that this VM does not hear and so does not take for
+  // keepers. The object changes only with its contents.
+  const std::shared_ptr<const std::set<std::string>>& passed_over() const {
+    return passed_over_;
+  }
+  bool is_registered() const { return is_registered_; }
   // A leaving VM hands its limits over to the others.
   void SetLeaving(bool is_leaving, TimePoint now);
 
@@ -131,7 +135,7 @@
   Duration KeptFor(TimePoint now) const {
     return was_settled_ ? now - settled_at_ : Duration::zero();
   }
-  double reach() const { return reach_; }
+  double reach() const { return votes_.reach(); }
   size_t kept() const { return keeper_.kept(); }
   size_t waiting() const { return waiting_.size(); }
   const Counters& counters() const { return counters_; }
@@ -153,7 +157,7 @@
     bool is_cancelled = false;
   };
   bool IsSettled(TimePoint now) const {
-    return reach_ >= kSettledReach || now - started_at_ >= kSettleTime;
+    return reach() >= kSettledReach || now - started_at_ >= kSettleTime;
   }
   void Settle(TimePoint now);
   // Decides on the requests that have waited since the start.
@@ -161,6 +165,8 @@
   bool NeedsGrant(const std::string& keeper,
                   const std::string& workspace) const;
   bool CanKeep(const std::string& vm) const;
+  void UpdatePassedOver(TimePoint now);
+  void UpdateParts(TimePoint now);
   Keeping KeepingOf(const std::string& workspace);
   // Chooses the keepers anew, and sends them what the former ones did not
   // confirm.
@@ -183,7 +189,16 @@
   bool was_settled_ = false;
   bool is_deciding_ = false;
   TimePoint settled_at_{};
-  double reach_ = 1;
+  LimitVotes votes_;
+  bool is_registered_ = true;
+  bool is_known_to_all_ = true;
+  Duration report_delay_ = std::chrono::milliseconds(450);
+  std::shared_ptr<const std::set<std::string>> passed_over_ =
+      std::make_shared<const std::set<std::string>>();
+  // Since when this VM passes over each of them.
+  std::map<std::string, TimePoint> passed_over_since_;
+  // The parts change without an event at this time.
+  std::optional<TimePoint> parts_change_at_;
   std::unordered_map<std::string, std::string> keepers_;  // by workspace
   std::map<std::string, Use> unclaimed_;                  // by workspace
   std::map<std::string, std::deque<SentClaims>> sent_;    // by keeper
--- a/tests/limits/limit_fleet.h
+++ b/tests/limits/limit_fleet.h
@@ -27,11 +27,18 @@
   static constexpr Duration kDelayInRegion = std::chrono::milliseconds(2);
   static constexpr Duration kDelayBetweenRegions =
       std::chrono::milliseconds(22);
-  // A VM that has not been heard for this long admits no requests.
-  static constexpr Duration kAdmissionTimeout = std::chrono::seconds(5);
   // A VM without the store accepts keys for this long.
   static constexpr Duration kKeyFreshness = std::chrono::milliseconds(3500);
   static constexpr Duration kOverdueMargin = std::chrono::milliseconds(200);
+  static constexpr Duration kReportDelayMargin = std::chrono::milliseconds(300);
+  // Entries in the store, as Registration and Fleet handle them.
+  static constexpr Duration kLeaseTtl = std::chrono::seconds(8);
+  static constexpr Duration kRenewInterval = std::chrono::milliseconds(2500);
+  static constexpr Duration kFenceTime = std::chrono::milliseconds(6500);
+  static constexpr Duration kVisibleDelay = std::chrono::seconds(4);
+  static constexpr Duration kDepartedPeerRetention = std::chrono::seconds(6);
+  // Time by which the view of the store is behind.
+  static constexpr Duration kViewInterval = std::chrono::milliseconds(700);
   static constexpr Duration kPeerUpdateInterval =
       std::chrono::milliseconds(100);
 
@@ -49,6 +56,13 @@
       vms_[n].linked_at.resize(vms);
       vms_[n].heard_at.resize(vms);
       vms_[n].keeps.resize(vms);
+      vms_[n].listed.resize(vms, true);
+      vms_[n].unlisted_at.resize(vms);
+      vms_[n].unregistered.resize(vms);
+      vms_[n].passed_over.resize(vms);
+      vms_[n].is_cut_to.resize(vms);
+      vms_[n].extra_delay.resize(vms);
+      vms_[n].registered_since = now_ - kVisibleDelay;
     }
     for (size_t n = 0; n < vms; ++n) Start(n);
   }
@@ -64,7 +78,12 @@
     vm.limiter = std::make_unique<WorkspaceLimiter>(vm.name, now_);
     vm.limiter->SetTolerance({0.1, 20, kWindow});
     vm.limiter->SetLimits(workspaces_, now_);
-    vm.started_at = now_;
+    vm.limiter->SetReportDelay(report_period_ / 2 + kReportDelayMargin);
+    vm.started_at = vm.registered_since = now_;
+    // The view is loaded and the entry written at the next step with the store.
+    vm.view_at = vm.renewed_at = now_ - kLeaseTtl;
+    vm.store_at = now_;
+    vm.sent_passed_over = nullptr;
     vm.is_running = true;
     vm.is_silent = false;
     vm.waiting.clear();
@@ -72,10 +91,7 @@
     vm.report_at = now_ + FromSeconds(Uniform() * ToSeconds(report_period_));
     for (size_t k = 0; k < vms_.size(); ++k) {
       if (k == n) continue;
-      const TimePoint up_at =
-          now_ + FromSeconds(Uniform() * ToSeconds(kLinkTime));
-      vm.heard_at[k] = vms_[k].heard_at[n] = now_;
-      vm.linked_at[k] = vms_[k].linked_at[n] = up_at;
+      Link(n, k);
       // The first report on the link tells whether the peer keeps limits.
       vm.keeps[k] = vms_[k].was_settled;
       vms_[k].keeps[n] = false;
@@ -84,7 +100,9 @@
   // The process ends and its kernel closes the links.
   void Kill(size_t n) {
     vms_[n].is_running = false;
-    for (Vm& it : vms_) it.linked_at[n] = TimePoint::max();
+    for (size_t k = 0; k < vms_.size(); ++k) {
+      if (IsOpen(n, k)) vms_[k].linked_at[n] = TimePoint::max();
+    }
   }
   // The VM loses power: its links stay open and silent.
   void PowerOff(size_t n) {
@@ -98,8 +116,19 @@
   // store; in the others keys are not confirmed any more.
   void SetGroup(size_t n, int group) {
     vms_[n].group = group;
-    vms_[n].moved_at = now_;
+    LinkAgain();
+  }
+  // Drops everything that `n` sends to `k`.
+  void SetCut(size_t n, size_t k, bool is_cut) {
+    vms_[n].is_cut_to[k] = is_cut;
+    if (!is_cut) LinkAgain();
   }
+  void SetExtraDelay(size_t n, size_t k, Duration delay) {
+    vms_[n].extra_delay[k] = delay;
+  }
+  void SetStore(size_t n, bool has_store) { vms_[n].has_store = has_store; }
+  // Renewals of the entry fail while the view of the store stays current.
+  void SetRenewals(size_t n, bool work) { vms_[n].can_renew = work; }
 
   // Runs for a time. `demand(vm, workspace)` is in requests per second.
   template <typename Demand>
@@ -127,16 +156,24 @@
       for (size_t n = 0; n < vms_.size(); ++n) {
         Vm& vm = vms_[n];
         if (!vm.is_running || vm.is_frozen) continue;
+        UseStore(n);
         if (now_ >= vm.tick_at) {
           vm.tick_at = now_ + WorkspaceLimiter::kClaimInterval;
           if (now_ >= vm.peers_at) {
             vm.peers_at = now_ + kPeerUpdateInterval;
             vm.limiter->SetPeers(PeersOf(n), now_);
           }
+          vm.limiter->SetRegistered(now_ - vm.renewed_at < kFenceTime,
+                                    now_ - vm.registered_since >= kVisibleDelay,
+                                    now_);
           vm.limiter->Tick(now_);
         }
         const bool is_settled = vm.limiter->is_settled();
-        if (is_settled != vm.was_settled || now_ >= vm.report_at) Report(n);
+        const bool is_urgent =
+            vm.limiter->passed_over() != vm.sent_passed_over &&
+            now_ >= vm.report_at - report_period_ / 2;
+        if (is_settled != vm.was_settled || now_ >= vm.report_at || is_urgent)
+          Report(n);
         vm.was_settled = is_settled;
         Flush(n);
       }
@@ -180,8 +217,20 @@
         [](const auto& a, const auto& b) { return a.second < b.second; });
     return static_cast<size_t>(std::stoul(best->first.substr(2)));
   }
+  // Returns how many VMs keep the limit.
+  size_t KeepersOf(size_t w) {
+    std::set<std::string> out;
+    for (Vm& it : vms_) {
+      if (it.is_running) out.insert(it.limiter->KeeperOf(workspaces_[w].name));
+    }
+    return out.size();
+  }
   const WorkspaceLimiter& limiter(size_t n) const { return *vms_[n].limiter; }
 
+  // Whether requests need a key, which is accepted only with a current view of
+  // the store.
+  bool needs_keys = true;
+
   size_t requested = 0;
   size_t admitted = 0;
   size_t messages = 0;
@@ -199,13 +248,26 @@
     bool is_silent = false;
     bool is_frozen = false;
     int group = 0;
-    TimePoint moved_at{};
+    bool has_store = true;
+    bool can_renew = true;
+    TimePoint store_at{};    // next use of the store
+    TimePoint view_at{};     // of the store
+    TimePoint renewed_at{};  // own entry
+    TimePoint registered_since{};
+    TimePoint entry_end{};  // in the store
     TimePoint tick_at{};
     TimePoint peers_at{};
     TimePoint report_at{};
     std::vector<TimePoint> linked_at;  // by peer
     std::vector<TimePoint> heard_at;
     std::vector<bool> keeps;  // as reported
+    std::vector<bool> listed;
+    std::vector<TimePoint> unlisted_at;
+    std::vector<bool> unregistered;  // as reported
+    std::vector<std::shared_ptr<const std::set<std::string>>> passed_over;
+    std::shared_ptr<const std::set<std::string>> sent_passed_over;
+    std::vector<bool> is_cut_to;
+    std::vector<Duration> extra_delay;
     bool was_settled = false;
     std::map<WorkspaceLimiter::Ticket, std::pair<size_t, TimePoint>> waiting;
   };
@@ -220,11 +282,51 @@
     LimitReply reply;
     std::vector<std::string> scarce;
     bool keeps_limits = false;
+    bool is_unregistered = false;
+    std::shared_ptr<const std::set<std::string>> passed_over;
   };
 
   double Uniform() {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
+  // Whether packets pass in both directions.
+  bool IsOpen(size_t n, size_t k) const {
+    return vms_[n].group == vms_[k].group && !vms_[n].is_cut_to[k] &&
+           !vms_[k].is_cut_to[n];
+  }
+  void Link(size_t n, size_t k) {
+    const TimePoint up_at =
+        IsOpen(n, k) ? now_ + FromSeconds(Uniform() * ToSeconds(kLinkTime))
+                     : kUnlinked;
+    vms_[n].heard_at[k] = vms_[k].heard_at[n] = now_;
+    vms_[n].linked_at[k] = vms_[k].linked_at[n] = up_at;
+    vms_[n].passed_over[k] = vms_[k].passed_over[n] = nullptr;
+  }
+  void LinkAgain() {
+    for (size_t n = 0; n < vms_.size(); ++n) {
+      for (size_t k = n + 1; k < vms_.size(); ++k) {
+        const bool is_down = vms_[n].linked_at[k] == kUnlinked ||
+                             vms_[k].linked_at[n] == kUnlinked;
+        if (is_down && IsOpen(n, k)) Link(n, k);
+      }
+    }
+  }
+  void UseStore(size_t n) {
+    Vm& vm = vms_[n];
+    if (vm.group != 0 || !vm.has_store || now_ < vm.store_at) return;
+    vm.store_at = now_ + kViewInterval;
+    if (vm.can_renew && now_ - vm.renewed_at >= kRenewInterval) {
+      if (vm.entry_end < now_) vm.registered_since = now_;
+      vm.renewed_at = now_;
+      vm.entry_end = now_ + kLeaseTtl;
+    }
+    vm.view_at = now_;
+    for (size_t k = 0; k < vms_.size(); ++k) {
+      const bool is_listed = vms_[k].entry_end > now_;
+      if (vm.listed[k] && !is_listed) vm.unlisted_at[k] = now_;
+      vm.listed[k] = is_listed;
+    }
+  }
   bool IsLinked(size_t n, size_t k) {
     return vms_[n].linked_at[k] <= now_ && vms_[k].linked_at[n] <= now_;
   }
@@ -237,16 +339,19 @@
       if (k == n) continue;
       const Duration silence = now_ - vms_[n].heard_at[k];
       const bool is_killed = vms_[n].linked_at[k] == TimePoint::max();
+      const bool may_admit =
+          !is_killed && (vms_[n].listed[k] || now_ - vms_[n].unlisted_at[k] <
+                                                  kDepartedPeerRetention);
       out.push_back({vms_[k].name, IsLinked(n, k) && silence < overdue,
                      IsLinked(n, k) && silence < timeout && vms_[n].keeps[k],
-                     vms_[k].limiter->KeptFor(now_),
-                     !is_killed && silence < kAdmissionTimeout});
+                     vms_[k].limiter->KeptFor(now_), may_admit,
+                     vms_[n].unregistered[k], vms_[n].passed_over[k]});
     }
     return out;
   }
   void Arrive(size_t n, size_t w) {
     Vm& vm = vms_[n];
-    const bool has_keys = vm.group == 0 || now_ - vm.moved_at < kKeyFreshness;
+    const bool has_keys = !needs_keys || now_ - vm.view_at < kKeyFreshness;
     if (!vm.is_running || vm.is_frozen || !has_keys) return;
     ++requested;
     const WorkspaceLimiter::Ticket ticket = next_ticket_++;
@@ -263,7 +368,9 @@
   void Send(Packet packet) {
     const size_t from = packet.from;
     const size_t to = packet.to;
-    if (!IsLinked(from, to) || vms_[from].group != vms_[to].group) return;
+    if (!IsLinked(from, to) || vms_[from].group != vms_[to].group ||
+        vms_[from].is_cut_to[to])
+      return;
     packet.from_incarnation = vms_[from].incarnation;
     packet.to_incarnation = vms_[to].incarnation;
     ++messages;
@@ -273,18 +380,22 @@
     const Duration delay = from % kRegions == to % kRegions
                                ? kDelayInRegion
                                : kDelayBetweenRegions;
-    packets_.emplace(now_ + delay, std::move(packet));
+    packets_.emplace(now_ + delay + vms_[from].extra_delay[to],
+                     std::move(packet));
   }
   void Report(size_t n) {
     vms_[n].report_at = now_ + report_period_;
     const std::vector<std::string> scarce = vms_[n].limiter->ScarceLimits(now_);
     const size_t sent = messages;
+    vms_[n].sent_passed_over = vms_[n].limiter->passed_over();
     for (size_t k = 0; k < vms_.size(); ++k) {
       if (k == n) continue;
       Packet packet{n, k};
       packet.kind = Kind::kReport;
       packet.scarce = scarce;
       packet.keeps_limits = vms_[n].limiter->is_settled();
+      packet.is_unregistered = !vms_[n].limiter->is_registered();
+      packet.passed_over = vms_[n].limiter->passed_over();
       Send(std::move(packet));
     }
     messages = sent;  // reports are sent in any case
@@ -329,6 +440,8 @@
       if (it.kind == Kind::kReport) {
         to.heard_at[it.from] = now_;
         to.keeps[it.from] = it.keeps_limits;
+        to.unregistered[it.from] = it.is_unregistered;
+        to.passed_over[it.from] = it.passed_over;
         to.limiter->OnScarceLimits(from, it.scarce, now_);
       } else if (it.kind == Kind::kReply) {
         to.limiter->OnReply(from, it.reply, now_);
@@ -343,6 +456,10 @@
     packets_.merge(kept);
   }
 
+  // Marks a link that is to come up once packets pass.
+  static constexpr TimePoint kUnlinked =
+      TimePoint::max() - std::chrono::hours(1);
+
   std::vector<TrafficWorkspace> workspaces_;
   std::mt19937_64 random_;
   TimePoint now_{std::chrono::hours(1)};
--- /dev/null
+++ b/tests/limits/limit_parts_test.cc
@@ -0,0 +1,204 @@
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "limits/limit_fleet.h"
+
+namespace rwf {
+namespace {
+
+// Usual requests of a workspace as a fraction of its rate.
+constexpr double kUsualLoad = 0.62;
+
+std::vector<TrafficWorkspace> Workspaces(const std::vector<double>& rates) {
+  std::vector<TrafficWorkspace> out;
+  for (const double it : rates) {
+    TrafficWorkspace workspace;
+    workspace.name = "w" + std::to_string(out.size());
+    workspace.rate = it;
+    workspace.burst = it;
+    out.push_back(std::move(workspace));
+  }
+  return out;
+}
+
+// Two parts of the fleet lose each other, and VM 0 still hears both; all reach
+// the store. Guards against two VMs that each spend the rate of VM 0 or, after
+// some seconds of silence, the whole rate.
+TEST_CASE(
+    "Limit parts, two parts out of touch for 20 s, stays "
+    "within one rate and uses it") {
+  for (const size_t vms : {3, 7, 28}) {
+    for (const bool hears_both : {true, false}) {
+      CAPTURE(vms);
+      CAPTURE(hears_both);
+      LimitFleet fleet(vms, Workspaces({60, 60, 60, 60, 60, 60}));
+      const auto storm = [vms](size_t, size_t) {
+        return 60 * 3.75 / static_cast<double>(vms);
+      };
+      fleet.Run(std::chrono::seconds(6), storm);
+      const auto set_cut = [&](bool is_cut) {
+        for (size_t n = hears_both ? 1 : 0; n < vms; ++n) {
+          for (size_t k = n + 1; k < vms; ++k) {
+            if (n % 2 == k % 2) continue;
+            fleet.SetCut(n, k, is_cut);
+            fleet.SetCut(k, n, is_cut);
+          }
+        }
+      };
+      set_cut(true);
+      fleet.Run(std::chrono::seconds(5), storm);
+      fleet.ResetCounts();
+      fleet.Run(std::chrono::seconds(15), storm);
+      CHECK(static_cast<double>(fleet.admitted) >= 60 * 6 * 15 * 0.6);
+      set_cut(false);
+      fleet.Run(std::chrono::seconds(6), storm);
+      CHECK(fleet.IsWithinBounds());
+    }
+  }
+}
+
+// Guards against VMs that take their own lapsed entries, or those of all the
+// others, for a reason to use only a part of the rate.
+TEST_CASE(
+    "Limit parts, store away for all for 30 s, uses the "
+    "whole rate") {
+  for (const size_t vms : {3, 28}) {
+    CAPTURE(vms);
+    LimitFleet fleet(vms, Workspaces({3, 15, 60}));
+    const auto usual = [vms](size_t, size_t w) {
+      return std::vector<double>{3, 15, 60}[w] * kUsualLoad /
+             static_cast<double>(vms);
+    };
+    fleet.needs_keys = false;  // routes that are open to callers without keys
+    fleet.Run(std::chrono::seconds(6), usual);
+    for (size_t n = 0; n < vms; ++n) fleet.SetStore(n, false);
+    fleet.ResetCounts();
+    fleet.Run(std::chrono::seconds(30), usual);
+    CHECK(fleet.RefusedFraction() <= 0.001);
+    for (size_t n = 0; n < vms; ++n) fleet.SetStore(n, true);
+    fleet.Run(std::chrono::seconds(10), usual);
+    CHECK(fleet.RefusedFraction() <= 0.001);
+    CHECK(fleet.IsWithinBounds());
+  }
+}
+
+// Guards against a VM that spends its part after its entry has ended and the
+// others have divided the rate among themselves.
+TEST_CASE(
+    "Limit parts, VM cut off and unable to renew its "
+    "entry, stays within one rate") {
+  for (const bool needs_keys : {true, false}) {
+    CAPTURE(needs_keys);
+    LimitFleet fleet(3, Workspaces({60, 60, 60, 60, 60, 60}));
+    fleet.needs_keys = needs_keys;
+    const auto storm = [](size_t, size_t) { return 60 * 1.25; };
+    fleet.Run(std::chrono::seconds(6), storm);
+    fleet.SetRenewals(0, false);
+    for (const size_t k : {1, 2}) {
+      fleet.SetCut(0, k, true);
+      fleet.SetCut(k, 0, true);
+    }
+    fleet.Run(std::chrono::seconds(30), storm);
+    fleet.ResetCounts();
+    fleet.Run(std::chrono::seconds(10), storm);
+    // The others have all of it again.
+    CHECK(static_cast<double>(fleet.admitted) >= 60 * 6 * 10 * 0.95);
+    CHECK(fleet.IsWithinBounds());
+  }
+}
+
+// Random cuts of single paths (in one direction too), slow paths, losses of the
+// store, failed renewals, kills, restarts and pauses.
+TEST_CASE(
+    "Limit parts, faults of paths and of the store, stays "
+    "within the bound and recovers") {
+  for (uint64_t seed = 1; seed <= 15; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const size_t vms = std::vector<size_t>{3, 7, 28}[seed % 3];
+    CAPTURE(vms);
+    LimitFleet fleet(vms, Workspaces({3, 15, 60, 60, 60, 60}), seed);
+    const auto storm = [&](size_t, size_t w) {
+      return std::vector<double>{3, 15, 60, 60, 60, 60}[w] * 2.5 /
+             static_cast<double>(vms);
+    };
+    const auto usual = [&](size_t n, size_t w) {
+      return storm(n, w) * kUsualLoad / 2.5;
+    };
+    fleet.Run(std::chrono::seconds(6), usual);
+    std::vector<int> state(vms, 0);
+    for (int round = 0; round < 10; ++round) {
+      for (size_t faults = 1 + vms / 7; faults > 0; --faults) {
+        const size_t n = random() % vms;
+        const size_t k = (n + 1 + random() % (vms - 1)) % vms;
+        switch (random() % 8) {
+          case 0:
+            fleet.SetCut(n, k, true);
+            break;
+          case 1:
+            fleet.SetCut(n, k, true);
+            fleet.SetCut(k, n, true);
+            break;
+          case 2:
+            fleet.SetCut(n, k, false);
+            fleet.SetCut(k, n, false);
+            break;
+          case 3:
+            fleet.SetExtraDelay(n, k,
+                                std::chrono::milliseconds(random() % 400));
+            break;
+          case 4:
+            fleet.SetStore(n, random() % 2 == 0);
+            break;
+          case 5:
+            fleet.SetRenewals(n, random() % 2 == 0);
+            break;
+          case 6:
+            if (state[n] == 1) {
+              fleet.Start(n);
+            } else if (state[n] == 0) {
+              fleet.Kill(n);
+            }
+            if (state[n] != 2) state[n] = 1 - state[n];
+            break;
+          default:
+            if (state[n] == 2) {
+              fleet.Wake(n);
+            } else if (state[n] == 0) {
+              fleet.Freeze(n);
+            }
+            if (state[n] != 1) state[n] = 2 - state[n];
+        }
+      }
+      fleet.Run(std::chrono::milliseconds(200 + random() % 6000), storm);
+      for (size_t w = 0; w < 6; ++w) {
+        CAPTURE(round);
+        CAPTURE(w);
+        CHECK(fleet.worst_window[w] <= fleet.MaxAdmitted(w));
+      }
+    }
+    for (size_t n = 0; n < vms; ++n) {
+      if (state[n] == 1) fleet.Start(n);
+      if (state[n] == 2) fleet.Wake(n);
+      fleet.SetStore(n, true);
+      fleet.SetRenewals(n, true);
+      for (size_t k = 0; k < vms; ++k) {
+        if (k == n) continue;
+        fleet.SetCut(n, k, false);
+        fleet.SetExtraDelay(n, k, {});
+      }
+    }
+    fleet.Run(std::chrono::seconds(10), usual);
+    fleet.ResetCounts();
+    fleet.Run(std::chrono::seconds(6), usual);
+    CHECK(fleet.RefusedFraction() <= 0.001);
+    for (size_t w = 0; w < 6; ++w) CHECK(fleet.KeepersOf(w) == 1);
+    CHECK(fleet.IsWithinBounds());
+  }
+}
+
+}  // namespace
+}  // namespace rwf
