Write a VM's entry conditionally and read it back through the watch

Each write now names the revision that the VM last knew, and an entry that is missing or of another process is written again at once. MemoryStore checks conditions of writes.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,7 +4,6 @@
 
 #include "base/digest.h"
 #include "gateway/decision_log.h"
-#include "gateway/limit_codec.h"
 
 namespace rwf {
 namespace {
@@ -120,18 +119,6 @@
       "rwf_instances_waiting",
       "Upstream instances that have asked this VM for a pause",
       [this] { return double(notices_.waiting(EventLoop::Now())); });
-  metrics_.AddGauge("rwf_limits_kept",
-                    "Limits of workspaces that this VM keeps for the fleet",
-                    [this] { return double(limiter_.kept()); });
-  metrics_.AddGauge("rwf_limit_reach",
-                    "Fraction of the VMs whose claims reach this VM",
-                    [this] { return limiter_.reach(); });
-  metrics_.AddGauge("rwf_limit_grants_asked_total",
-                    "Requests that waited for a grant of a limit's keeper",
-                    [this] { return double(limiter_.counters().asked); });
-  metrics_.AddGauge("rwf_limit_keeper_timeouts_total",
-                    "Keepers of limits that did not reply in time",
-                    [this] { return double(limiter_.counters().timeouts); });
   metrics_.AddGauge("rwf_peers", "Known peer VMs",
                     [this] { return double(fleet_.size()); });
   metrics_.AddGauge(
@@ -205,55 +192,11 @@
       });
 }
 
-void Gateway::ConnectLimits() {
-  fleet_.signal_limit_claims.connect([this](const std::string& vm,
-                                            const wire::LimitClaimsT& message) {
-    wire::BodyUnion body;
-    body.Set(ToWire(limiter_.OnClaims(FromWire(message), EventLoop::Now())));
-    fleet_.Send(vm, std::move(body));
-    FlushLimits();
-  });
-  fleet_.signal_limit_reply.connect(
-      [this](const std::string& vm, const wire::LimitReplyT& message) {
-        limiter_.OnReply(vm, FromWire(message), EventLoop::Now());
-        FlushLimits();
-      });
-}
-
-void Gateway::TickLimits() {
-  const TimePoint now = EventLoop::Now();
-  const bool was_settled = limiter_.is_settled();
-  limiter_.SetPeers(fleet_.LimitPeers(), now);
-  limiter_.Tick(now);
-  // The other VMs send their claims here from now on.
-  if (!was_settled && limiter_.is_settled()) fleet_.SendReports();
-  FlushLimits();
-}
-
-void Gateway::FlushLimits() {
-  for (WorkspaceLimiter::Message& it : limiter_.TakeMessages()) {
-    wire::BodyUnion body;
-    body.Set(ToWire(it.claims));
-    fleet_.Send(it.vm, std::move(body));
-  }
-  LimitReply changes{0, limiter_.TakeChanges(EventLoop::Now())};
-  if (!changes.verdicts.empty()) {
-    for (const LimitVerdict& it : changes.verdicts) {
-      log_->State(it.is_scarce ? "limit_scarce" : "limit_plentiful")
-          .Text("workspace", it.name)
-          .Real("reach", limiter_.reach());
-    }
-    wire::MessageT message;
-    message.body.Set(ToWire(changes));
-    fleet_.SendToAll(message);
-  }
-  for (const WorkspaceLimiter::Decision& it : limiter_.TakeDecisions())
-    forwarder_->OnLimitDecided(it);
-}
-
 void Gateway::ConnectRelay() {
   watch_.signal_change.connect(
       [this](const StoreItem& it) { relay_.OnChange(it, BootTimeNow()); });
+  watch_.signal_change.connect(
+      [this](const StoreItem& it) { registration_.OnChange(it); });
   watch_.signal_loaded.connect([this] { relay_.OnLoaded(watch_.revision()); });
   watch_.signal_confirmed.connect([this](TimePoint t) {
     relay_.OnConfirmed(watch_.revision(), t, BootTimeNow());
@@ -370,6 +313,7 @@
 
 void Gateway::OnLoaded() {
   SetRetryBounds();
+  registration_.OnLoaded();
   if (!fleet_.is_started()) ScheduleSecretWrite();
 }
 
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -13,36 +13,72 @@
 
 void Registration::Stop() {
   is_stopped_ = true;
+  is_seen_ = false;
   timer_.reset();
   if (lease_ != 0) store_->Release(lease_, [](const Result<bool>&) {});
 }
 
+void Registration::OnChange(const StoreItem& item) {
+  // The watch may be behind this VM's own writes.
+  if (item.key != key_ || item.revision < latest_revision_) return;
+  const bool was_seen = is_seen_;
+  latest_revision_ = item.revision;
+  revision_ = item.is_deleted ? 0 : item.revision;
+  is_seen_ = !is_stopped_ && !item.is_deleted && item.value == value_;
+  if (is_seen_ && !was_seen) seen_since_ = EventLoop::Now();
+  if (is_seen_ || !was_seen || is_stopped_) return;
+  ++losses_;
+  signal_lost.emit(item.is_deleted);
+  // A removed entry has lost its lease.
+  Schedule(Duration::zero(),
+           item.is_deleted ? &Registration::Grant : &Registration::Write);
+}
+
+void Registration::OnLoaded() {
+  if (is_loaded_) return;
+  is_loaded_ = true;
+  if (lease_ != 0 && !is_writing_) Write();
+}
+
 void Registration::Schedule(Duration delay, void (Registration::*step)()) {
   if (is_stopped_) return;
   timer_ = loop_->After(delay, [this, step] { (this->*step)(); });
 }
 
 void Registration::Grant() {
-  store_->Grant(kLeaseTtl, [this](const Result<GrantedLease>& lease) {
-    if (!lease) {
+  const TimePoint started_at = EventLoop::Now();
+  store_->Grant(kLeaseTtl, [this, started_at](const Result<GrantedLease>& it) {
+    if (!it) {
       Schedule(kRetryDelay, &Registration::Grant);
       return;
     }
-    lease_ = lease->id;
+    lease_ = it->id;
+    renewed_at_ = started_at;
+    // The entry in the store belongs to an earlier lease.
+    is_seen_ = false;
     Write();
   });
 }
 
 void Registration::Write() {
-  if (is_stopped_) return;
-  // The entry of an earlier process of this VM is replaced unconditionally:
-  // each VM runs one process.
-  store_->Write({key_, value_, lease_, false, 0},
+  if (is_stopped_ || !is_loaded_ || is_writing_) return;
+  is_writing_ = true;
+  // Processes of this VM may have writes on their way that take effect seconds
+  // later. The condition lets only one of them win.
+  store_->Write({key_, value_, lease_, true, revision_},
                 [this](const Result<uint64_t>& done) {
-                  if (done) {
+                  is_writing_ = false;
+                  if (done && *done >= latest_revision_) {
+                    revision_ = latest_revision_ = *done;
                     Schedule(kRenewInterval, &Registration::Renew);
+                  } else if (done) {
+                    // Replaced since then, as the watch has told.
+                    Schedule(Duration::zero(), &Registration::Write);
                   } else if (done.error().code == StoreErrc::kNotHeld) {
                     Schedule(kRetryDelay, &Registration::Grant);
+                  } else if (is_seen_) {
+                    // The response was lost, or that of an earlier attempt.
+                    Schedule(kRenewInterval, &Registration::Renew);
                   } else {
                     Schedule(kRetryDelay, &Registration::Write);
                   }
@@ -50,9 +86,16 @@
 }
 
 void Registration::Renew() {
-  store_->KeepAlive(lease_, [this](const Result<bool>& done) {
+  const TimePoint started_at = EventLoop::Now();
+  store_->KeepAlive(lease_, [this, started_at](const Result<bool>& done) {
     if (done) {
-      Schedule(kRenewInterval, &Registration::Renew);
+      renewed_at_ = started_at;
+      // The lease may be held while the entry is not seen.
+      if (is_seen_) {
+        Schedule(kRenewInterval, &Registration::Renew);
+      } else {
+        Schedule(Duration::zero(), &Registration::Write);
+      }
     } else if (done.error().code == StoreErrc::kNotHeld) {
       Grant();
     } else {
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -71,6 +71,21 @@
   const InstanceInfo instance{.id = "i", .service = "s", .started_ms = 7};
 };
 
+// A late write of a former process brings its entry back. Guards against a
+// linked VM that is left out as a keeper, and then forgotten, for that.
+TEST_CASE_FIXTURE(FleetFixture,
+                  "Fleet, entry of a former process returns, keeps the link") {
+  for (Vm& it : vms) Start(&it);
+  REQUIRE(RunUntil([&] { return vms[0].fleet->HasLinks(1); }));
+  FleetVm former = vms[1].info;
+  former.incarnation = 1;
+  vms[0].fleet->OnListed(former);
+  CHECK(vms[0].fleet->HasLinks(1));
+  vms[0].fleet->OnUnlisted(former.vm);
+  CHECK(vms[0].fleet->HasLinks(1));
+  CHECK(vms[0].fleet->size() == 1);
+}
+
 // Guards against VMs that each send an instance as much as its limit allows all
 // of them together.
 TEST_CASE_FIXTURE(FleetFixture,
--- a/tests/gateway/memory_store.h
+++ b/tests/gateway/memory_store.h
@@ -26,6 +26,11 @@
     Notify({key, "", ++revision_, true});
   }
   bool Has(const std::string& key) const { return items_.contains(key); }
+  // Returns an empty string if there is no such item.
+  std::string Get(const std::string& key) const {
+    const auto it = items_.find(key);
+    return it == items_.end() ? "" : it->second.value;
+  }
   void SetDown(bool is_down) {
     is_down_ = is_down;
     if (!is_down) return;
@@ -61,7 +66,19 @@
     watches_.back().timer = loop_->After(wait, [this, id] { ExpireWatch(id); });
   }
   void Write(const ItemWrite& write, Callback<uint64_t> done) override {
-    if (!is_down_) Put(write.key, write.value);
+    if (is_down_) {
+      Complete<uint64_t>(std::move(done), uint64_t{revision_});
+      return;
+    }
+    const auto it = items_.find(write.key);
+    const uint64_t present = it == items_.end() ? 0 : it->second.revision;
+    if (write.is_conditional && present != write.expected_revision) {
+      loop_->Post([done = std::move(done)] {
+        done(Fail(StoreErrc::kConflict, "another revision"));
+      });
+      return;
+    }
+    Put(write.key, write.value);
     Complete<uint64_t>(std::move(done), uint64_t{revision_});
   }
   void Grant(Duration ttl, Callback<GrantedLease> done) override {
