Refuse requests of an empty limit without asking its keeper

Each request over a scarce limit waited for the keeper's reply, and its refusal cost as much as a served request. After a verdict without a grant, a VM now refuses at once and asks the keeper in bulk, after the time it named (0.1 to 0.5 s), for as many tokens as it has refused requests; the next requests use them without a wait. New counter rwf_limit_refused_at_once_total.

--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -13,6 +13,11 @@
   metrics_.AddGauge("rwf_limit_grants_asked_total",
                     "Requests that waited for a grant of a limit's keeper",
                     [this] { return double(limiter_.counters().asked); });
+  metrics_.AddGauge(
+      "rwf_limit_refused_at_once_total",
+      "Requests refused without asking the limit's keeper, which "
+      "had no tokens",
+      [this] { return double(limiter_.counters().refused_at_once); });
   metrics_.AddGauge("rwf_limit_keeper_timeouts_total",
                     "Keepers of limits that did not reply in time",
                     [this] { return double(limiter_.counters().timeouts); });
--- a/src/traffic/workspace_limiter.cc
+++ b/src/traffic/workspace_limiter.cc
@@ -135,6 +135,9 @@
       SendClaims(keeper, {std::move(it)}, {}, now);
     }
   }
+  empty_.RemoveUnless([this](const std::string& name, const std::string& vm) {
+    return keeper_.HasLimit(name) && KeeperOf(name) == vm;
+  });
   for (const auto& [workspace, vm] : former) {
     const bool is_lost = vm != self_ && !CanKeep(vm);
     if (is_lost && keeper_.HasLimit(workspace)) unconfirmed_.insert(workspace);
@@ -186,10 +189,17 @@
     return {Admission::kRefused, keeper_.RetryAfter(workspace, now)};
   }
   if (!NeedsGrant(keeper, workspace)) {
+    empty_.Remove(workspace);
     ++unclaimed_[workspace].admitted;
     ++counters_.free;
     return {};
   }
+  if (empty_.Contains(workspace, keeper)) {
+    if (empty_.TryTake(workspace)) return {};
+    ++counters_.refused;
+    ++counters_.refused_at_once;
+    return {Admission::kRefused, keeper_.RetryAfter(workspace, now)};
+  }
   waiting_[ticket] = {workspace, now};
   ++counters_.asked;
   Ask(ticket, now);
@@ -286,19 +296,7 @@
   if (!was_settled_ && IsSettled(now)) Settle(now);
   if (was_settled_ && !is_deciding_ && now - settled_at_ >= kAnnounceTime)
     BeginDeciding(now);
-  if (is_deciding_) {
-    std::map<std::string, std::vector<LimitClaim>> claims;  // by keeper
-    for (const auto& [name, use] : std::exchange(unclaimed_, {})) {
-      const std::string& keeper = KeeperOf(name);
-      LimitClaim claim{name, use.admitted, use.returned, 0};
-      if (keeper == self_) {
-        keeper_.OnClaims({claim}, now);
-        continue;
-      }
-      claims[keeper].push_back(std::move(claim));
-    }
-    for (auto& [vm, it] : claims) SendClaims(vm, std::move(it), {}, now);
-  }
+  if (is_deciding_) ClaimUses(now);
   std::vector<Ticket> expired;
   for (const auto& [ticket, it] : waiting_) {
     const Duration limit = is_deciding_ ? kMaxWait : kSettleTime + kMaxWait;
@@ -310,6 +308,34 @@
   }
 }
 
+void WorkspaceLimiter::ClaimUses(TimePoint now) {
+  for (const EmptyLimits::Unused& it : empty_.TakeUnused(now))
+    unclaimed_[it.name].returned += it.tokens;
+  std::map<std::string, uint32_t> wanted;
+  for (const EmptyLimits::Request& it : empty_.TakeRequests(now)) {
+    unclaimed_.try_emplace(it.name);
+    wanted[it.name] = it.wanted;
+  }
+  std::map<std::string, std::vector<LimitClaim>> claims;  // by keeper
+  for (const auto& [name, use] : std::exchange(unclaimed_, {})) {
+    const std::string& keeper = KeeperOf(name);
+    LimitClaim claim{name, use.admitted, use.returned, 0};
+    if (keeper == self_) {
+      keeper_.OnClaims({claim}, now);
+      continue;
+    }
+    if (const auto it = wanted.find(name); it != wanted.end())
+      claim.wanted = it->second;
+    claims[keeper].push_back(std::move(claim));
+  }
+  for (auto& [vm, it] : claims) {
+    for (const LimitClaim& claim : it) {
+      if (claim.wanted > 0) empty_.OnSent(claim.name, next_id_);
+    }
+    SendClaims(vm, std::move(it), {}, now);
+  }
+}
+
 LimitReply WorkspaceLimiter::OnClaims(const LimitClaims& claims,
                                       TimePoint now) {
   return {claims.id, keeper_.OnClaims(claims.claims, now)};
@@ -336,7 +362,14 @@
   sent->second.erase(pos);
   if (sent->second.empty()) sent_.erase(sent);
   std::map<std::string, LimitVerdict> verdicts;
-  for (const LimitVerdict& it : reply.verdicts) verdicts[it.name] = it;
+  for (const LimitVerdict& it : reply.verdicts) {
+    if (empty_.OnGranted(it.name, reply.id, it.granted, it.retry_after, now))
+      continue;
+    verdicts[it.name] = it;
+    const bool is_empty = it.granted == 0 && it.retry_after > Duration::zero();
+    if (is_empty && KeeperOf(it.name) == vm)
+      empty_.OnRefused(it.name, vm, it.retry_after, now);
+  }
   for (const Ticket ticket : tickets) {
     const auto it = waiting_.find(ticket);
     if (it == waiting_.end()) continue;
--- a/src/traffic/workspace_limiter.h
+++ b/src/traffic/workspace_limiter.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "traffic/catalog.h"
+#include "traffic/empty_limits.h"
 #include "traffic/limit_keeper.h"
 #include "traffic/limit_messages.h"
 #include "traffic/limit_votes.h"
@@ -69,11 +70,12 @@
     friend bool operator==(const Message&, const Message&) = default;
   };
   struct Counters {
-    uint64_t free = 0;      // admitted without a grant
-    uint64_t asked = 0;     // requests that waited for a grant
-    uint64_t refused = 0;   // over the limit
-    uint64_t expired = 0;   // refused since no keeper replied
-    uint64_t timeouts = 0;  // keepers passed over
+    uint64_t free = 0;             // admitted without a grant
+    uint64_t asked = 0;            // requests that waited for a grant
+    uint64_t refused = 0;          // over the limit
+    uint64_t refused_at_once = 0;  // of these, without asking the keeper
+    uint64_t expired = 0;          // refused since no keeper replied
+    uint64_t timeouts = 0;         // keepers passed over
     friend bool operator==(const Counters&, const Counters&) = default;
   };
 
@@ -165,6 +167,8 @@
   bool NeedsGrant(const std::string& keeper,
                   const std::string& workspace) const;
   bool CanKeep(const std::string& vm) const;
+  // Sends what is to be claimed, one message to each keeper.
+  void ClaimUses(TimePoint now);
   void UpdatePassedOver(TimePoint now);
   void UpdateParts(TimePoint now);
   Keeping KeepingOf(const std::string& workspace);
@@ -205,6 +209,7 @@
   std::map<std::string, std::set<std::string>> scarce_;   // by keeper
   // Limits whose keeper was lost, until the next one has told their state.
   std::set<std::string> unconfirmed_;
+  EmptyLimits empty_;
   std::map<Ticket, Waiting> waiting_;
   std::vector<Message> messages_;
   std::vector<Decision> decisions_;
--- a/tests/limits/limit_parts_test.cc
+++ b/tests/limits/limit_parts_test.cc
@@ -200,5 +200,81 @@
   }
 }
 
+// Load pattern: one workspace sends ten times its rate. Guards against a
+// message to the keeper and a wait of its delay for each refused request, and
+// against tokens that nobody uses while the limit is thought to be empty.
+TEST_CASE(
+    "Empty limit, ten times the rate, is refused at once and used in full") {
+  struct Row {
+    size_t vms;
+    double rate;
+    double max_messages;  // for each refused request
+  };
+  for (const Row row : {Row{7, 60, 0.2}, Row{7, 300, 0.1}, Row{28, 60, 0.5},
+                        Row{28, 300, 0.2}}) {
+    CAPTURE(row.vms);
+    CAPTURE(row.rate);
+    LimitFleet fleet(row.vms, Workspaces({row.rate}));
+    const auto load = [&](double factor) {
+      return [&row, factor](size_t, size_t) {
+        return row.rate * factor / static_cast<double>(row.vms);
+      };
+    };
+    fleet.Run(std::chrono::seconds(6), load(kUsualLoad));
+    fleet.Run(std::chrono::seconds(5), load(10));
+    fleet.ResetCounts();
+    fleet.Run(std::chrono::seconds(20), load(10));
+    CHECK(static_cast<double>(fleet.admitted) >= row.rate * 20 * 0.97);
+    const auto refused = static_cast<double>(fleet.requested - fleet.admitted);
+    const double per_refused = static_cast<double>(fleet.messages) / refused;
+    CAPTURE(per_refused);
+    CHECK(per_refused <= row.max_messages);
+    CHECK(fleet.IsWithinBounds());
+  }
+}
+
+// Guards against refusals within the rate because a limit is still thought to
+// be empty.
+TEST_CASE("Empty limit, load falls below the rate, is soon used freely") {
+  for (const size_t vms : {7, 28}) {
+    for (const double rate : {15.0, 60.0, 300.0}) {
+      CAPTURE(vms);
+      CAPTURE(rate);
+      LimitFleet fleet(vms, Workspaces({rate}));
+      const auto load = [&](double factor) {
+        return [=](size_t, size_t) {
+          return rate * factor / static_cast<double>(vms);
+        };
+      };
+      fleet.Run(std::chrono::seconds(6), load(kUsualLoad));
+      fleet.Run(std::chrono::seconds(8), load(10));
+      fleet.Run(std::chrono::seconds(1), load(kUsualLoad));
+      fleet.ResetCounts();
+      fleet.Run(std::chrono::seconds(10), load(kUsualLoad));
+      CHECK(fleet.RefusedFraction() <= 0.005);
+      CHECK(fleet.IsWithinBounds());
+    }
+  }
+}
+
+// Guards against tokens lost where the load is just above the rate.
+TEST_CASE("Empty limit, load slightly above the rate, is used in full") {
+  for (const size_t vms : {7, 28}) {
+    for (const double factor : {1.05, 1.3, 2.0}) {
+      CAPTURE(vms);
+      CAPTURE(factor);
+      LimitFleet fleet(vms, Workspaces({60}));
+      const auto load = [=](size_t, size_t) {
+        return 60 * factor / static_cast<double>(vms);
+      };
+      fleet.Run(std::chrono::seconds(10), load);
+      fleet.ResetCounts();
+      fleet.Run(std::chrono::seconds(20), load);
+      CHECK(static_cast<double>(fleet.admitted) >= 60 * 20 * 0.97);
+      CHECK(fleet.IsWithinBounds());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace rwf
