Log the first refusal of a workspace in each second, then a count

Each refusal by a limit wrote two log lines, which cost as much as the refusal and displaced lines of other requests (at most 400 a second are written). Now the first refusal of each workspace in a second writes its two lines; the others are counted in rate_limited_count, or in the next line of the workspace.

--- a/src/gateway/event_log.cc
+++ b/src/gateway/event_log.cc
@@ -87,7 +87,9 @@
   return {this, event, false};
 }
 
-EventLog::Line EventLog::Request(std::string_view event, std::string_view id) {
+EventLog::Line EventLog::Request(std::string_view event, std::string_view id,
+                                 bool is_logged) {
+  if (!is_logged) return {this, event, true};
   const TimePoint now = EventLoop::Now();
   if (now - window_start_ >= std::chrono::seconds(1)) {
     window_start_ = now;
--- a/src/gateway/event_log.h
+++ b/src/gateway/event_log.h
@@ -49,8 +49,10 @@
 
   // Starts a line about the state of the process.
   Line State(std::string_view event);
-  // Starts a line about one request; `id` is the id given by the caller.
-  Line Request(std::string_view event, std::string_view id);
+  // Starts a line about one request; `id` is the id given by the caller. A line
+  // that is not logged is one of many that are counted elsewhere.
+  Line Request(std::string_view event, std::string_view id,
+               bool is_logged = true);
 
   uint64_t lines() const { return lines_; }
   uint64_t dropped() const { return dropped_; }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -168,13 +168,11 @@
 }
 
 void Forwarder::RefuseOverLimit(Exchange* it, Duration retry_after) {
-  const std::string& workspace = it->workspace->name;
-  deps_.log->Request("rate_limited", it->request_id)
-      .Text("workspace", workspace)
-      .Text("keeper", deps_.limiter->KeeperOf(workspace))
-      .Real("reach", deps_.limiter->reach())
-      .Millis("waited_ms", EventLoop::Now() - it->arrived_at)
-      .Millis("retry_after_ms", retry_after);
+  const TimePoint now = EventLoop::Now();
+  it->is_logged = limit_refusals_.Log(
+      deps_.log, deps_.limiter,
+      {it->request_id, it->workspace->name, now - it->arrived_at, retry_after},
+      now);
   Refuse(it, {429, "rate-limited", retry_after});
 }
 
@@ -611,7 +609,7 @@
                                   ? "none"
                                   : it->placement_request.service;
   deps_.metrics->CountRequest(service, result, now - it->arrived_at);
-  deps_.log->Request("request", it->request_id)
+  deps_.log->Request("request", it->request_id, it->is_logged)
       .Text("result", result)
       .Number("status", status)
       .Text("route", it->route == nullptr ? "" : it->route->name)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "gateway/front_server.h"
 #include "gateway/header_names.h"
 #include "gateway/instance_prober.h"
+#include "gateway/limit_refusal_log.h"
 #include "gateway/notice_decoder.h"
 #include "gateway/upstream_pool.h"
 #include "traffic/attempt_budget.h"
@@ -141,6 +142,7 @@
     // Set while the limit of the workspace is undecided.
     WorkspaceLimiter::Ticket limit_ticket = 0;
     bool is_admitted = false;  // under that limit
+    bool is_logged = true;     // by itself, not as one of a count
     PlacementRequest placement_request;
     // Equal for requests that do the same.
     Digest fingerprint{};
@@ -221,6 +223,7 @@
   TimePoint stop_at_ = TimePoint::max();
   uint64_t next_attempt_id_ = 1;
   WorkspaceLimiter::Ticket next_limit_ticket_ = 1;
+  LimitRefusalLog limit_refusals_;
   std::unordered_map<CallerId, ExchangePtr> exchanges_;
   std::unordered_map<WorkspaceLimiter::Ticket, CallerId> limit_tickets_;
 };
