--- a/src/traffic/workspace_limiter.cc
+++ b/src/traffic/workspace_limiter.cc
@@ -25,19 +25,57 @@
       peers.begin(), peers.end(), peers_.begin(), peers_.end(),
       [](const LimitPeer& a, const LimitPeer& b) {
         return a.vm == b.vm && a.is_heard == b.is_heard &&
-               a.can_keep == b.can_keep && a.may_admit == b.may_admit;
+               a.can_keep == b.can_keep && a.may_admit == b.may_admit &&
+               a.is_unregistered == b.is_unregistered &&
+               a.passed_over == b.passed_over;
       });
   peers_ = peers;
-  if (is_same) return;
-  size_t admitting = 1;
-  size_t reachable = 1;
+  if (!is_same) ChooseKeepers(now);
+}
+
+void WorkspaceLimiter::SetRegistered(bool is_registered, bool is_known_to_all,
+                                     TimePoint now) {
+  if (is_registered == is_registered_ && is_known_to_all == is_known_to_all_)
+    return;
+  is_registered_ = is_registered;
+  is_known_to_all_ = is_known_to_all;
+  UpdateParts(now);
+}
+
+void WorkspaceLimiter::UpdatePassedOver(TimePoint now) {
+  std::set<std::string> names;
   for (const LimitPeer& it : peers_) {
-    if (it.is_heard) ++reachable;
-    if (it.is_heard || it.may_admit) ++admitting;
+    if (!it.is_heard || silent_.contains(it.vm)) names.insert(it.vm);
   }
-  reach_ = static_cast<double>(reachable) / static_cast<double>(admitting);
-  if (was_settled_) keeper_.SetReach(reach_, now);
-  ChooseKeepers(now);
+  if (names == *passed_over_) return;
+  std::erase_if(passed_over_since_,
+                [&](const auto& it) { return !names.contains(it.first); });
+  for (const std::string& it : names) passed_over_since_.try_emplace(it, now);
+  passed_over_ =
+      std::make_shared<const std::set<std::string>>(std::move(names));
+}
+
+void WorkspaceLimiter::UpdateParts(TimePoint now) {
+  LimitVotes::Own own{self_, *passed_over_, {}, is_registered_};
+  parts_change_at_.reset();
+  for (const auto& [vm, since] : passed_over_since_) {
+    const TimePoint end = since + report_delay_;
+    if (end <= now) continue;
+    own.recently_passed_over.insert(vm);
+    parts_change_at_ = std::min(end, parts_change_at_.value_or(end));
+  }
+  // A VM that is cut off when it starts may be unknown to all others.
+  const bool hears_any =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [](const LimitPeer& it) { return it.is_heard; });
+  own.has_vote = is_registered_ && (hears_any || is_known_to_all_);
+  votes_ = LimitVotes(std::move(own), peers_);
+  if (!was_settled_) return;
+  keeper_.SetParts(
+      [this](const std::string& workspace, Keeping keeping) {
+        return votes_.PartOf(workspace, keeping);
+      },
+      now);
 }
 
 void WorkspaceLimiter::SetLeaving(bool is_leaving, TimePoint now) {
@@ -87,14 +125,19 @@
 
 void WorkspaceLimiter::ChooseKeepers(TimePoint now) {
   const auto former = std::exchange(keepers_, {});
+  UpdatePassedOver(now);
   std::vector<LimitClaim> given_up = keeper_.SetKept(
       [this](const std::string& it) { return KeepingOf(it); }, now);
+  UpdateParts(now);
   if (was_settled_) {
     for (LimitClaim& it : given_up) {
       const std::string keeper = KeeperOf(it.name);
       SendClaims(keeper, {std::move(it)}, {}, now);
     }
   }
+  empty_.RemoveUnless([this](const std::string& name, const std::string& vm) {
+    return keeper_.HasLimit(name) && KeeperOf(name) == vm;
+  });
   for (const auto& [workspace, vm] : former) {
     const bool is_lost = vm != self_ && !CanKeep(vm);
     if (is_lost && keeper_.HasLimit(workspace)) unconfirmed_.insert(workspace);
@@ -146,10 +189,17 @@
     return {Admission::kRefused, keeper_.RetryAfter(workspace, now)};
   }
   if (!NeedsGrant(keeper, workspace)) {
+    empty_.Remove(workspace);
     ++unclaimed_[workspace].admitted;
     ++counters_.free;
     return {};
   }
+  if (empty_.Contains(workspace, keeper)) {
+    if (empty_.TryTake(workspace)) return {};
+    ++counters_.refused;
+    ++counters_.refused_at_once;
+    return {Admission::kRefused, keeper_.RetryAfter(workspace, now)};
+  }
   waiting_[ticket] = {workspace, now};
   ++counters_.asked;
   Ask(ticket, now);
@@ -215,7 +265,7 @@
 void WorkspaceLimiter::Settle(TimePoint now) {
   was_settled_ = true;
   settled_at_ = now;
-  keeper_.SetReach(reach_, now);
+  UpdateParts(now);
   const bool has_predecessors =
       std::any_of(peers_.begin(), peers_.end(), [](const LimitPeer& it) {
         return it.can_keep && it.kept_for >= LimitKeeper::kHandoverTime;
@@ -242,22 +292,11 @@
     ++counters_.timeouts;
   }
   if (has_new_silent) ChooseKeepers(now);
+  if (parts_change_at_ && now >= *parts_change_at_) UpdateParts(now);
   if (!was_settled_ && IsSettled(now)) Settle(now);
   if (was_settled_ && !is_deciding_ && now - settled_at_ >= kAnnounceTime)
     BeginDeciding(now);
-  if (is_deciding_) {
-    std::map<std::string, std::vector<LimitClaim>> claims;  // by keeper
-    for (const auto& [name, use] : std::exchange(unclaimed_, {})) {
-      const std::string& keeper = KeeperOf(name);
-      LimitClaim claim{name, use.admitted, use.returned, 0};
-      if (keeper == self_) {
-        keeper_.OnClaims({claim}, now);
-        continue;
-      }
-      claims[keeper].push_back(std::move(claim));
-    }
-    for (auto& [vm, it] : claims) SendClaims(vm, std::move(it), {}, now);
-  }
+  if (is_deciding_) ClaimUses(now);
   std::vector<Ticket> expired;
   for (const auto& [ticket, it] : waiting_) {
     const Duration limit = is_deciding_ ? kMaxWait : kSettleTime + kMaxWait;
@@ -269,6 +308,34 @@
   }
 }
 
+void WorkspaceLimiter::ClaimUses(TimePoint now) {
+  for (const EmptyLimits::Unused& it : empty_.TakeUnused(now))
+    unclaimed_[it.name].returned += it.tokens;
+  std::map<std::string, uint32_t> wanted;
+  for (const EmptyLimits::Request& it : empty_.TakeRequests(now)) {
+    unclaimed_.try_emplace(it.name);
+    wanted[it.name] = it.wanted;
+  }
+  std::map<std::string, std::vector<LimitClaim>> claims;  // by keeper
+  for (const auto& [name, use] : std::exchange(unclaimed_, {})) {
+    const std::string& keeper = KeeperOf(name);
+    LimitClaim claim{name, use.admitted, use.returned, 0};
+    if (keeper == self_) {
+      keeper_.OnClaims({claim}, now);
+      continue;
+    }
+    if (const auto it = wanted.find(name); it != wanted.end())
+      claim.wanted = it->second;
+    claims[keeper].push_back(std::move(claim));
+  }
+  for (auto& [vm, it] : claims) {
+    for (const LimitClaim& claim : it) {
+      if (claim.wanted > 0) empty_.OnSent(claim.name, next_id_);
+    }
+    SendClaims(vm, std::move(it), {}, now);
+  }
+}
+
 LimitReply WorkspaceLimiter::OnClaims(const LimitClaims& claims,
                                       TimePoint now) {
   return {claims.id, keeper_.OnClaims(claims.claims, now)};
@@ -295,7 +362,14 @@
   sent->second.erase(pos);
   if (sent->second.empty()) sent_.erase(sent);
   std::map<std::string, LimitVerdict> verdicts;
-  for (const LimitVerdict& it : reply.verdicts) verdicts[it.name] = it;
+  for (const LimitVerdict& it : reply.verdicts) {
+    if (empty_.OnGranted(it.name, reply.id, it.granted, it.retry_after, now))
+      continue;
+    verdicts[it.name] = it;
+    const bool is_empty = it.granted == 0 && it.retry_after > Duration::zero();
+    if (is_empty && KeeperOf(it.name) == vm)
+      empty_.OnRefused(it.name, vm, it.retry_after, now);
+  }
   for (const Ticket ticket : tickets) {
     const auto it = waiting_.find(ticket);
     if (it == waiting_.end()) continue;
