--- a/tests/net/peer_links_test.cc
+++ b/tests/net/peer_links_test.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <map>
 
@@ -101,7 +102,9 @@
     for (int k = 0; k < 4; ++k) {
       sockets_.push_back(
           socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-      connect(sockets_.back(), address, n);
+      // Non-blocking: it is in progress, or waits for the full backlog.
+      CHECK(
+          (connect(sockets_.back(), address, n) == 0 || errno == EINPROGRESS));
     }
   }
   FullListener(const FullListener&) = delete;
