--- a/src/gateway/buffer_account.cc
+++ b/src/gateway/buffer_account.cc
@@ -88,7 +88,7 @@
     if (it == nullptr) return;
     const size_t before = bytes_;
     ReclaimHolder(it);
-    // A holder that keeps its bytes would be chosen again.
+    // A holder that keeps its bytes would be picked again.
     if (bytes_ >= before) return;
   }
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -162,6 +162,9 @@
     Attempt last_attempt;  // the most recently finished attempt
     std::unique_ptr<Timer> deadline_timer;
     std::unique_ptr<Timer> hedge_timer;
+    std::string WorkspaceName() const {
+      return workspace == nullptr ? "" : workspace->name;
+    }
   };
   using ExchangePtr = std::unique_ptr<Exchange>;
 
--- a/src/traffic/admission_queue.cc
+++ b/src/traffic/admission_queue.cc
@@ -201,7 +201,7 @@
   for (auto& [name, service] : services_) {
     for (size_t n = 0; n < service.entries.size();) {
       Entry& entry = service.entries[n];
-      // A request that can no longer be in time may still be worth a late run.
+      // A request that can no longer be in time may still be served late.
       if (entry.latest_start >= now ||
           (!entry.is_late && SetLatestStart(&service, &entry, now))) {
         ++n;
