--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -21,8 +21,6 @@
 constexpr double kColdInstanceFactor = 2;
 // Weight of one response in the mean size of a route's responses.
 constexpr double kResponseSizeGain = 0.02;
-// Load per slot assumed for a region that has no slots.
-constexpr double kNoSlotsLoad = 10;
 // Cost of an instance beyond the preferred ranks, as a fraction of a cold run's
 // cost. It keeps objects from spreading over all instances.
 constexpr double kHighRankCost = 0.2;
@@ -31,8 +29,6 @@
 
 // Weight of one run in the mean run time of a service.
 constexpr double kMeanRunGain = 0.02;
-// Mean run time assumed until the first response.
-constexpr Duration kInitialMeanRun = std::chrono::milliseconds(500);
 // Lowest weight of an instance in the order of an object.
 constexpr double kMinWeight = 0.01;
 
@@ -400,60 +396,6 @@
   return spilled_[0] < limit * std::max(requests / 2, requests_[0]) + 1;
 }
 
-Placement::Loads Placement::LoadsOf(const std::string& service, TimePoint now) {
-  CachedLoads& cached = loads_[service];
-  const bool is_known =
-      cached.loads.local_slots + cached.loads.remote_slots > 0;
-  if (is_known && now - cached.at < kLoadCacheInterval) return cached.loads;
-  Loads out;
-  const auto run = mean_runs_.find(service);
-  const Duration mean_run =
-      run == mean_runs_.end() ? kInitialMeanRun : run->second;
-  std::set<std::string> regions;
-  for (const InstanceState* it : registry_->OfService(service)) {
-    if (it->info().is_draining || registry_->IsEvacuated(it->info().zone))
-      continue;
-    if (notices_ != nullptr && notices_->IsLeaving(it->info())) continue;
-    regions.insert(it->info().region);
-    const bool in_local_region = it->info().region == settings_.region;
-    // Without reports of other VMs, their requests are known only from the
-    // reports of the instances.
-    (in_local_region ? out.local_load : out.remote_load) +=
-        peer_loads_.empty() ? it->LoadAt(now) : it->in_flight();
-    (in_local_region ? out.local_slots : out.remote_slots) +=
-        UsableSlots(it->info(), mean_run);
-  }
-  for (const auto& [key, n] : peer_loads_) {
-    if (key.service != service) continue;
-    (key.region == settings_.region ? out.local_load : out.remote_load) += n;
-  }
-  out.regions = regions.size();
-  cached = {now, out};
-  return out;
-}
-
-double Placement::Loads::LocalLoad() const {
-  return local_slots > 0 ? local_load / local_slots : kNoSlotsLoad;
-}
-
-double Placement::Loads::RemoteLoad() const {
-  return remote_slots > 0 ? remote_load / remote_slots : kNoSlotsLoad;
-}
-
-RegionLoads Placement::OwnLoads() const {
-  RegionLoads out;
-  for (const auto& [id, it] : registry_->all()) {
-    if (it->in_flight() > 0)
-      out[{it->info().service, it->info().region}] += it->in_flight();
-  }
-  return out;
-}
-
-void Placement::SetPeerLoads(const RegionLoads& loads, TimePoint now) {
-  peer_loads_ = loads;
-  AssumeLoads(registry_, loads, kMaxLoad, now);
-}
-
 bool Placement::HasLargeResponse(const PlacementRequest& request) const {
   if (request.has_large_responses) return true;
   const auto it = response_bytes_.find(request.route);
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -71,6 +71,8 @@
   // fraction of the permitted shift over two seconds.
   static constexpr double kSpillFraction = 0.35;
   static constexpr Duration kSpillWindow = std::chrono::seconds(2);
+  // Mean run time assumed until the first response.
+  static constexpr Duration kInitialMeanRun = std::chrono::milliseconds(500);
 
   // `notices` may be null.
   Placement(PlacementSettings settings, InstanceRegistry* registry,
