--- a/src/traffic/limit_votes.cc
+++ b/src/traffic/limit_votes.cc
@@ -67,7 +67,7 @@
     return std::any_of(rivals.begin(), rivals.end(),
                        [&](size_t n) { return is_better[n]; });
   };
-  // This VM sends its own claims to the keeper that it has chosen.
+  // This VM sends its own claims to the keeper that it selected.
   const bool votes_for_self = keeping == Keeping::kYes;
   double voters = votes_for_self ? 1 : 0;
   double registered = votes_for_self && own_.has_vote ? 1 : 0;
