--- a/src/gateway/decision_log.cc
+++ b/src/gateway/decision_log.cc
@@ -2,11 +2,11 @@
 
 namespace rwf {
 
-void LogNotice(EventLog* log, const std::string& instance,
+void LogNotice(EventLog* log, const std::string& process,
                const InstanceNotice& notice, const std::string& peer,
                Duration age) {
   log->State("instance_notice")
-      .Text("instance", instance)
+      .Text("instance", process)
       .Text("heard_by", peer.empty() ? "self" : peer)
       .Millis("age_ms", age)
       .Real("rate_limit", notice.rate_limit.value_or(-1))
@@ -35,7 +35,10 @@
       .Flag("is_retry", request.is_retry)
       .Millis("expected_ms", details.expected)
       .Millis("allowed_ms", details.allowed)
-      .Flag("measured", details.is_time_measured);
+      .Flag("measured", details.is_time_measured)
+      .Millis("run_ms", details.estimate.run)
+      .Text("estimate", EstimateOriginName(details.estimate.origin))
+      .Real("measured_runs", details.estimate.measured_runs);
   for (size_t n = 0; n < details.rejected.size(); ++n) {
     if (details.rejected[n] == 0) continue;
     line.Number(RejectionCauseName(static_cast<RejectionCause>(n)),
--- a/src/gateway/decision_log.h
+++ b/src/gateway/decision_log.h
@@ -8,9 +8,9 @@
 
 namespace rwf {
 
-// Logs a change of what an instance says of itself. `peer` is the VM that
-// passed it on; empty: this VM heard it.
-void LogNotice(EventLog* log, const std::string& instance,
+// Logs a change of what a process of an instance says of itself. `peer` is the
+// VM that passed it on; empty: this VM heard it.
+void LogNotice(EventLog* log, const std::string& process,
                const InstanceNotice& notice, const std::string& peer,
                Duration age);
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -276,13 +276,23 @@
   const InstanceState* state = deps_.registry->Find(attempt.instance);
   // The response may be from an earlier process of the instance.
   if (state == nullptr ||
-      state->info().started_ms != attempt.instance_started_ms)
+      state->info().started_ms != attempt.instance_started_ms) {
+    if (decoded.notice != InstanceNotice{}) {
+      deps_.log->Request("notice_dropped", it.request_id)
+          .Text("instance",
+                ProcessName(attempt.instance, attempt.instance_started_ms))
+          .Text("reason", state == nullptr ? "not-listed" : "other-process")
+          .Flag("leaving", decoded.notice.is_leaving);
+    }
     return false;
+  }
   InstanceNotice notice = decoded.notice;
   if (!decoded.is_rate_limit_usable)
     notice.rate_limit = deps_.notices->RateLimit(state->info());
   if (deps_.notices->OnResponse(state->info(), notice, now)) {
-    LogNotice(deps_.log, attempt.instance, notice, "", Duration::zero());
+    LogNotice(deps_.log,
+              ProcessName(attempt.instance, attempt.instance_started_ms),
+              notice, "", Duration::zero());
     if (notice.is_leaving) deps_.pool->CloseIdleConnections(attempt.instance);
   }
   return notice != InstanceNotice{};
@@ -341,12 +351,7 @@
   Exchange* it = found->second.get();
   const TimePoint now = EventLoop::Now();
   const bool is_sent = !it->attempts.empty() || it->may_have_run;
-  for (const Attempt& attempt : it->attempts) {
-    FinishAttempt(*it, attempt, AttemptOutcome::kTimedOut,
-                  /*connection_lost=*/false, now);
-    deps_.pool->Cancel(attempt.send_id);
-  }
-  it->attempts.clear();
+  CancelAttempts(it, AttemptOutcome::kTimedOut, "deadline", now);
   if (is_sent) {
     Refuse(it, {504, "deadline", {}});
   } else {
@@ -363,7 +368,8 @@
   // A non-idempotent request is allowed to finish, since its caller may check
   // for its effect later.
   if (!it->route->idempotent && !it->attempts.empty()) return;
-  CancelAttempts(it);
+  CancelAttempts(it, AttemptOutcome::kCancelled, "caller-left",
+                 EventLoop::Now());
   FinishExchange(it, "caller-left", 0, "");
 }
 
@@ -387,19 +393,23 @@
     prober_.Probe({info.id, info.address, info.port}, process);
 }
 
-void Forwarder::CancelAttempts(Exchange* it) {
-  const TimePoint now = EventLoop::Now();
+void Forwarder::CancelAttempts(Exchange* it, AttemptOutcome outcome,
+                               const char* reason, TimePoint now) {
   for (const Attempt& attempt : it->attempts) {
-    FinishAttempt(*it, attempt, AttemptOutcome::kCancelled,
-                  /*connection_lost=*/false, now);
+    FinishAttempt(*it, attempt, outcome, /*connection_lost=*/false, now);
     deps_.pool->Cancel(attempt.send_id);
+    deps_.log->Request("attempt_cancelled", it->request_id)
+        .Text("instance",
+              ProcessName(attempt.instance, attempt.instance_started_ms))
+        .Text("reason", reason)
+        .Millis("took_ms", now - attempt.started_at);
   }
   it->attempts.clear();
 }
 
 void Forwarder::Respond(Exchange* it, const ReceivedMessage& response,
                         const std::string& instance) {
-  CancelAttempts(it);
+  CancelAttempts(it, AttemptOutcome::kCancelled, "answered", EventLoop::Now());
   const double bytes =
       kHeaderBytes +
       static_cast<double>(response.body.size() + it->request.body.size());
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -219,7 +219,9 @@
   void FinishAttempt(const Exchange& it, const Attempt& attempt,
                      AttemptOutcome outcome, bool connection_lost,
                      TimePoint now);
-  void CancelAttempts(Exchange* it);
+  // Cancels all attempts for the reason given, which is logged.
+  void CancelAttempts(Exchange* it, AttemptOutcome outcome, const char* reason,
+                      TimePoint now);
   double ColdRate(const Exchange& it) const;
   // Takes one further attempt from the retry budget.
   bool TakeRetryBudget(const Exchange& it, TimePoint now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -176,7 +176,8 @@
   fleet_.signal_instance_notice.connect(
       [this](const std::string& vm, const SharedNotice& it) {
         if (!notices_.OnShared(it, EventLoop::Now())) return;
-        LogNotice(log_, it.instance, it.notice, vm, it.age);
+        LogNotice(log_, ProcessName(it.instance, it.started_ms), it.notice, vm,
+                  it.age);
         if (it.notice.is_leaving) pool_.CloseIdleConnections(it.instance);
       });
 }
@@ -383,6 +384,7 @@
         .Text("instance", entry.info.id)
         .Text("service", entry.info.service)
         .Text("zone", entry.info.zone)
+        .Number("started_ms", entry.info.started_ms)
         .Millis("cold_ms", entry.cold_remaining);
   }
   if (entry.info.is_draining) pool_.CloseIdleConnections(entry.info.id);
--- a/src/traffic/cost_evaluation.cc
+++ b/src/traffic/cost_evaluation.cc
@@ -56,6 +56,8 @@
   const double scale = is_cold ? cold_factor : 1;
   const double run = cost.mean() * speed * scale;
   choice->expected = FromSeconds(run);
+  choice->estimate = {choice->expected, EstimateOrigin::kDistribution,
+                      cost.distribution->measured_weight()};
   choice->expected_total = FromSeconds(run + wait) + network;
   choice->upper_total =
       FromSeconds(cost.upper() * speed * scale + wait) + network;
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -125,6 +125,10 @@
   const double mean_run =
       (ToSeconds(times.warm) * 2 + ToSeconds(times.cold)) / 3 * slowness;
   out.expected = FromSeconds(run);
+  out.estimate = {
+      out.expected,
+      times.is_learned ? EstimateOrigin::kMean : EstimateOrigin::kObjective,
+      static_cast<double>(times.measured_runs)};
   out.expected_total = FromSeconds(run + waiting * mean_run) + network;
   out.healthy_latency =
       FromSeconds(healthy_run + waiting * mean_run / slowness) + network;
@@ -153,7 +157,8 @@
 }
 
 std::optional<RejectionCause> Placement::RejectionOf(
-    const Search& search, const PlacementChoice& choice) const {
+    const Search& search, const PlacementChoice& choice,
+    Duration* latest) const {
   const InstanceState& it = *choice.instance;
   const auto slots = static_cast<double>(std::max<int64_t>(1, it.info().slots));
   const double load = it.LoadAt(search.now);
@@ -171,13 +176,7 @@
   }
   const Duration accepted = AcceptedLatency(search, choice);
   if (choice.expected_total <= accepted) return std::nullopt;
-  RefusalDetails* details = search.details;
-  const bool is_first =
-      details->rejected[static_cast<size_t>(RejectionCause::kLate)] == 0;
-  if (is_first || choice.expected_total < details->expected) {
-    details->expected = choice.expected_total;
-    details->allowed = accepted;
-  }
+  *latest = accepted;
   return RejectionCause::kLate;
 }
 
@@ -253,11 +252,19 @@
       }
       const PlacementChoice choice = Evaluate(search, candidate, rank++);
       if (times.is_learned && choice.expected_total > limit) {
-        search.details->Count(RejectionCause::kDeadline);
+        search.details->CountTooLate(RejectionCause::kDeadline,
+                                     choice.expected_total, limit,
+                                     choice.estimate);
         continue;
       }
-      if (const auto cause = RejectionOf(search, choice)) {
-        search.details->Count(*cause);
+      Duration latest{};
+      if (const auto cause = RejectionOf(search, choice, &latest)) {
+        if (*cause == RejectionCause::kLate) {
+          search.details->CountTooLate(*cause, choice.expected_total, latest,
+                                       choice.estimate);
+        } else {
+          search.details->Count(*cause);
+        }
         continue;
       }
       double cost = ToSeconds(choice.expected_total);
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -155,9 +155,10 @@
   ColdPacer::Pace PaceOf(const InstanceState& it, double cold_rate,
                          size_t local_vms) const;
   // Returns why refusing this run is better for the region than admitting it,
-  // if it is. Records the times of a late run in the details.
-  std::optional<RejectionCause> RejectionOf(
-      const Search& search, const PlacementChoice& choice) const;
+  // if it is. For kLate, sets the latest response that would be accepted.
+  std::optional<RejectionCause> RejectionOf(const Search& search,
+                                            const PlacementChoice& choice,
+                                            Duration* latest) const;
   // Latest expected response that a full region accepts from an instance.
   static Duration AcceptedLatency(const Search& search,
                                   const PlacementChoice& choice);
--- a/src/traffic/placement_types.h
+++ b/src/traffic/placement_types.h
@@ -47,17 +47,37 @@
 };
 const char* RejectionCauseName(RejectionCause cause);
 
+// Where an expected run time comes from.
+enum class EstimateOrigin : uint8_t {
+  kObjective,     // a ratio of the route's objective
+  kMean,          // ServiceTimeModel
+  kDistribution,  // CostEstimator
+};
+const char* EstimateOriginName(EstimateOrigin origin);
+
+// The expected time of a run without waiting, and what it rests on.
+struct RunEstimate {
+  Duration run{};
+  EstimateOrigin origin = EstimateOrigin::kObjective;
+  double measured_runs = 0;  // weight of the measured runs
+  friend bool operator==(const RunEstimate&, const RunEstimate&) = default;
+};
+
 // The inputs of a refusal, for logs and metrics.
 struct RefusalDetails {
   // Number of instances by the cause of their rejection.
   std::array<uint32_t, static_cast<size_t>(RejectionCause::kCount)> rejected{};
-  // Earliest expected response among the instances rejected as late, and the
-  // latest that would have been accepted there.
+  // Earliest expected response among the instances whose response would be too
+  // late, the latest that would have been accepted there, and the run in it.
   Duration expected{};
   Duration allowed{};
+  RunEstimate estimate;
   bool is_time_measured = false;  // of the route; false: defaults
 
   void Count(RejectionCause cause) { ++rejected[static_cast<size_t>(cause)]; }
+  // Counts an instance whose response would come after `latest`.
+  void CountTooLate(RejectionCause cause, Duration response, Duration latest,
+                    const RunEstimate& run);
   // Returns the cause that applies to most instances.
   RejectionCause MainCause() const;
   friend bool operator==(const RefusalDetails&,
@@ -68,6 +88,7 @@
   InstanceState* instance = nullptr;  // null: refused
   PlacementRefusal reason = PlacementRefusal::kNoInstance;
   Duration expected{};        // of the run alone
+  RunEstimate estimate;       // behind `expected`
   Duration expected_total{};  // including queue and network
   bool is_warm = false;       // certain: it recently ran the object for this VM
   bool is_remote = false;     // in another region
--- a/src/traffic/run_distribution.cc
+++ b/src/traffic/run_distribution.cc
@@ -51,6 +51,7 @@
       std::exp2(std::clamp(ToSeconds(age) / ToSeconds(kHalfLife), 0.0, 20.0));
   if (increment_ > kMaxIncrement) {
     for (double& it : weights_) it /= increment_;
+    prior_weight_ /= increment_;
     increment_ = 1;
   }
   Add(seconds);
--- a/src/traffic/run_distribution.h
+++ b/src/traffic/run_distribution.h
@@ -38,6 +38,10 @@
   double upper() const { return upper_; }
   // Number of runs that the distribution is based on, after decay.
   double weight() const { return tail_weight_[0] / increment_; }
+  // The same without the prior.
+  double measured_weight() const {
+    return (tail_weight_[0] - prior_weight_) / increment_;
+  }
   // Ratio of the spread quantile to the median.
   double spread() const { return spread_ / median_; }
   // Returns the expected rest of a run that has lasted `elapsed` seconds.
@@ -54,7 +58,8 @@
   // Sums over a bucket and all later ones.
   std::array<double, kBuckets + 1> tail_weight_{};
   std::array<double, kBuckets + 1> tail_seconds_{};
-  double increment_ = 1;  // weight of the next run
+  double increment_ = 1;                // weight of the next run
+  double prior_weight_ = kPriorWeight;  // in the unit of `increment_`
   TimePoint recorded_at_{};
   double mean_ = 0;
   double median_ = 0;
--- a/src/traffic/service_time_model.cc
+++ b/src/traffic/service_time_model.cc
@@ -18,21 +18,24 @@
     if (it != times_.end()) return it->second;
   } else {
     const auto it = times_without_object_.find(route);
-    if (it != times_without_object_.end())
-      return {it->second, it->second, true};
+    if (it != times_without_object_.end()) return it->second;
   }
   return {FromSeconds(ToSeconds(objective) * kInitialColdRatio),
-          FromSeconds(ToSeconds(objective) * kInitialWarmRatio), false};
+          FromSeconds(ToSeconds(objective) * kInitialWarmRatio), false, 0};
 }
 
 void ServiceTimeModel::OnResponseWithoutObject(const std::string& route,
                                                Duration took) {
-  const auto [it, is_first] = times_without_object_.try_emplace(
-      route, std::max(took, kMinTimeWithoutObject));
-  if (is_first) return;
-  const Duration sample =
-      std::clamp(took, kMinTimeWithoutObject, it->second * 2);
-  it->second += FromSeconds(kGain * ToSeconds(sample - it->second));
+  Times& times = times_without_object_[route];
+  if (times.measured_runs++ == 0) {
+    times.cold = std::max(took, kMinTimeWithoutObject);
+  } else {
+    const Duration sample =
+        std::clamp(took, kMinTimeWithoutObject, times.cold * 2);
+    times.cold += FromSeconds(kGain * ToSeconds(sample - times.cold));
+  }
+  times.warm = times.cold;
+  times.is_learned = true;
 }
 
 void ServiceTimeModel::OnResponse(const std::string& route, Duration objective,
@@ -51,6 +54,7 @@
   it += FromSeconds(kGain * (ToSeconds(sample) - ToSeconds(it)));
   times.warm = std::min(times.warm, times.cold);
   times.is_learned = true;
+  ++times.measured_runs;
   times_[route] = times;
 }
 
--- a/src/traffic/service_time_model.h
+++ b/src/traffic/service_time_model.h
@@ -16,6 +16,7 @@
     Duration warm{};
     // False while these are defaults, which never cause a refusal.
     bool is_learned = false;
+    int measured_runs = 0;
     friend bool operator==(const Times&, const Times&) = default;
   };
   // What was known about the request and the instance before the run.
@@ -39,7 +40,7 @@
   void OnResponseWithoutObject(const std::string& route, Duration took);
 
   std::map<std::string, Times> times_;
-  std::map<std::string, Duration> times_without_object_;
+  std::map<std::string, Times> times_without_object_;
 };
 
 }  // namespace rwf
