--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -636,6 +636,31 @@
   CHECK(leaving.requests == 1);
 }
 
+// Guards against a notice that is lost because the entry of the instance lapsed
+// while the request was running, and came back later.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Instance, leaves while its entry lapsed, gets no request") {
+  ScriptedInstance leaving(&loop, [](const std::string&) { return "HOLD"; });
+  constexpr int64_t kStartedMs = 1000;
+  AddInstance("i1", leaving.port, kStartedMs);
+  PipeliningCaller caller(&loop, front_port);
+  caller.Send(RequestText("/safe/x", "id0"));
+  REQUIRE(RunUntil([&] { return leaving.held.contains("id0"); }));
+  registry.Remove("i1");
+  std::string response = FullResponse(leaving.last_request);
+  response.insert(response.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  leaving.Release("id0", response);
+  REQUIRE(RunUntil([&] { return caller.responses.size() == 1; }));
+  AddInstance("i1", leaving.port, kStartedMs);
+  CHECK(SendRequest(RequestText("/safe/x", "id1")).status == 503);
+  CHECK(leaving.requests == 1);
+  // The next process under the same id takes requests.
+  registry.Remove("i1");
+  AddInstance("i1", leaving.port, kStartedMs + 1);
+  SendRequest(RequestText("/safe/x", "id2"));
+  CHECK(leaving.requests == 2);
+}
+
 // Guards against requests, retries and second attempts at an instance within
 // the time for which it wants none.
 TEST_CASE_FIXTURE(
