Keep what a response says of a process whose entry has lapsed

A VM dropped Server-Leaving, limits and pauses of a response if its registry did not hold the process at that moment. When the entry came back, for example after an outage of the store, the VM sent requests to an instance whose leaving it had passed on to a caller.

A notice is about a process, and the attempt knows which one it was sent to, so the entry is no longer asked for. Only where entries do not name the start of the process is a notice without an entry still dropped, with a log line: a later process could not be told from it.

The test "Instance, leaves while its entry lapsed, gets no request" failed before (a second request arrived) and passes now.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -273,26 +273,27 @@
         .Text("instance", attempt.instance)
         .Text("reason", decoded.problem);
   }
-  const InstanceState* state = deps_.registry->Find(attempt.instance);
-  // The response may be from an earlier process of the instance.
-  if (state == nullptr ||
-      state->info().started_ms != attempt.instance_started_ms) {
+  const std::string process =
+      ProcessName(attempt.instance, attempt.instance_started_ms);
+  // The entry may lapse and return while the process lives. Without its start,
+  // a later process could not be told from it.
+  if (attempt.instance_started_ms == 0 &&
+      deps_.registry->Find(attempt.instance) == nullptr) {
     if (decoded.notice != InstanceNotice{}) {
       deps_.log->Request("notice_dropped", it.request_id)
-          .Text("instance",
-                ProcessName(attempt.instance, attempt.instance_started_ms))
-          .Text("reason", state == nullptr ? "not-listed" : "other-process")
+          .Text("instance", process)
           .Flag("leaving", decoded.notice.is_leaving);
     }
     return false;
   }
+  InstanceInfo info;
+  info.id = attempt.instance;
+  info.started_ms = attempt.instance_started_ms;
   InstanceNotice notice = decoded.notice;
   if (!decoded.is_rate_limit_usable)
-    notice.rate_limit = deps_.notices->RateLimit(state->info());
-  if (deps_.notices->OnResponse(state->info(), notice, now)) {
-    LogNotice(deps_.log,
-              ProcessName(attempt.instance, attempt.instance_started_ms),
-              notice, "", Duration::zero());
+    notice.rate_limit = deps_.notices->RateLimit(info);
+  if (deps_.notices->OnResponse(info, notice, now)) {
+    LogNotice(deps_.log, process, notice, "", Duration::zero());
     if (notice.is_leaving) deps_.pool->CloseIdleConnections(attempt.instance);
   }
   return notice != InstanceNotice{};
--- a/src/traffic/instance_notices.h
+++ b/src/traffic/instance_notices.h
@@ -71,8 +71,9 @@
 
   InstanceNotices();
 
-  // Records what an instance said in a response to this VM. Returns whether it
-  // differs from what was known.
+  // Records what a process of an instance said in a response to this VM,
+  // whether the process is listed or not. Only the id and the start of the
+  // instance are used. Returns whether it differs from what was known.
   bool OnResponse(const InstanceInfo& instance, const InstanceNotice& notice,
                   TimePoint now);
   // Records what a peer heard. Returns whether that was news.
