Let an estimate of run times refuse requests only while runs confirm it

Cause: whether a time is learned came from ServiceTimeModel, true after one response, and the time itself from CostEstimator, where a prior of 1.4 times the objective still had the weight of two runs. no_place shows it: run_ms 888 by the distribution, measured_runs 1, no waiting, 838 ms left, where the run before took 57 ms. What is refused is not measured, so nothing corrected the estimate. The class: an estimate decides, and its decision keeps it from being measured. A route whose runs had been long was shut out the same way, by either model.

RunEvidence now decides for both models whether an estimate may refuse: after ten measured runs of the route and kind, within a second of the last one. After that a single request is sent as a trial, at most every one to four seconds; if it succeeds, the route's run times are learned anew. In a full region the run that is discounted comes from the same estimate as the expected time.

The cases "Route, ..." of run_estimates_test.cc failed before and pass now; "is refused at once" guards what must stay refused.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -83,6 +83,7 @@
   attempt.started_at = now;
   attempt.expected_run_time = choice.expected;
   attempt.is_warm = choice.is_warm;
+  attempt.is_trial = choice.is_trial;
   attempt.rank = choice.rank;
   attempt.is_remote = choice.is_remote;
   choice.instance->OnSent(attempt.id, it->placement_request.object,
@@ -228,6 +229,8 @@
   if (result.outcome == SendOutcome::kResponded)
     RecordLoadReport(attempt.instance, result.response, now);
   if (outcome == AttemptOutcome::kSucceeded) {
+    if (attempt.is_trial)
+      deps_.placement->OnTrialSucceeded(it->placement_request);
     const Duration run = now - attempt.started_at - attempt.expected_wait;
     deps_.placement->OnResponse(it->placement_request.service, it->route->name,
                                 result.response.body.size(), run);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -133,6 +133,7 @@
     Duration expected_run_time{};
     Duration expected_wait{};  // in the queue and on the network
     bool is_warm = false;
+    bool is_trial = false;
     size_t rank = 0;
     bool is_remote = false;
   };
--- a/src/traffic/cost_estimator.cc
+++ b/src/traffic/cost_estimator.cc
@@ -105,6 +105,18 @@
   return kind;
 }
 
+void CostEstimator::Forget(const std::string& service, const std::string& route,
+                           Duration objective, uint64_t object) {
+  Route& found = Find(service, route, objective);
+  found.objects.erase(object);
+  for (const RunKind kind :
+       {RunKind::kWarm, RunKind::kCold, RunKind::kNoObject}) {
+    if ((kind == RunKind::kNoObject) != (object == 0)) continue;
+    const auto n = static_cast<size_t>(kind);
+    found.raw[n] = found.by_kind[n] = PriorOf(kind, objective);
+  }
+}
+
 void CostEstimator::RecordObject(Route* route, uint64_t object, double ratio,
                                  TimePoint now) {
   auto& objects = route->objects;
--- a/src/traffic/cost_estimator.h
+++ b/src/traffic/cost_estimator.h
@@ -66,6 +66,10 @@
   RunKind Record(const std::string& service, const std::string& route,
                  Duration objective, ServiceTimeModel::Warmth warmth,
                  uint64_t object, double seconds, bool is_exact, TimePoint now);
+  // Forgets the runs of the route with an object, and the ratio of this object,
+  // or those without one if `object` is 0.
+  void Forget(const std::string& service, const std::string& route,
+              Duration objective, uint64_t object);
   // Distribution of all runs of a service.
   const RunDistribution& OfService(const std::string& service,
                                    Duration objective);
--- a/src/traffic/cost_evaluation.cc
+++ b/src/traffic/cost_evaluation.cc
@@ -56,8 +56,9 @@
   const double scale = is_cold ? cold_factor : 1;
   const double run = cost.mean() * speed * scale;
   choice->expected = FromSeconds(run);
-  choice->estimate = {choice->expected, EstimateOrigin::kDistribution,
-                      cost.distribution->measured_weight()};
+  choice->estimate = {
+      choice->expected, FromSeconds(inputs->CostOf(inputs->has_object).mean()),
+      EstimateOrigin::kDistribution, cost.distribution->measured_weight()};
   choice->expected_total = FromSeconds(run + wait) + network;
   choice->upper_total =
       FromSeconds(cost.upper() * speed * scale + wait) + network;
@@ -109,10 +110,16 @@
   out.upper = FromSeconds(cost.upper() * factor);
   out.factor = factor;
   out.trust = machine->trust();
+  out.kind = kind;
   out.share_within =
       estimator_.ShareWithinUpper(request.service, request.route);
   out.is_in_effect = costs.is_uneven || machine->is_reported();
   return out;
 }
 
+void CostEvaluation::Forget(const PlacementRequest& request) {
+  estimator_.Forget(request.service, request.route, request.objective,
+                    request.object);
+}
+
 }  // namespace rwf
--- a/src/traffic/cost_evaluation.h
+++ b/src/traffic/cost_evaluation.h
@@ -55,6 +55,8 @@
   RunReport OnRunEnded(const PlacementRequest& request, InstanceState* instance,
                        ServiceTimeModel::Warmth warmth, TimePoint started_at,
                        Duration run, TimePoint now);
+  // Forgets the run times of the request's route, object or not, and object.
+  void Forget(const PlacementRequest& request);
   const CostEstimator& estimator() const { return estimator_; }
 
  private:
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -89,6 +89,33 @@
   return limit ? std::min(slots, *limit * ToSeconds(run)) : slots;
 }
 
+bool Placement::MayBeWarm(const PlacementRequest& request,
+                          const PlacementChoice& choice) {
+  // Other VMs also send the object to the first instance of its order.
+  return request.object != 0 && (choice.is_warm || choice.rank == 0);
+}
+
+RunClass Placement::ClassOf(const PlacementRequest& request, bool is_warm) {
+  using RunKind = CostEstimator::RunKind;
+  const RunKind kind = request.object == 0 ? RunKind::kNoObject
+                       : is_warm           ? RunKind::kWarm
+                                           : RunKind::kCold;
+  return {request.service, request.route, kind};
+}
+
+bool Placement::IsTooLate(const Search& search, PlacementChoice* choice) {
+  const PlacementRequest& request = *search.request;
+  const Duration limit = request.time_left - kDeadlineMargin;
+  if (choice->expected_total <= limit) return false;
+  const RunEvidence::Verdict verdict =
+      MayBeWarm(request, *choice) ? search.warm_verdict : search.cold_verdict;
+  if (verdict == RunEvidence::Verdict::kUnmeasured) return false;
+  // Waiting follows from what the instance reports, which needs no trial.
+  choice->is_trial =
+      verdict == RunEvidence::Verdict::kTrialDue && choice->expected > limit;
+  return !choice->is_trial;
+}
+
 PlacementChoice Placement::Evaluate(const Search& search,
                                     const Candidate& candidate,
                                     size_t rank) const {
@@ -101,8 +128,7 @@
   out.rank = rank;
   out.is_remote = !search.is_local;
   out.is_warm = request.object != 0 && it->IsWarmFor(request.object, now);
-  // Other VMs also send the object to the first instance of its order.
-  const bool may_be_warm = out.is_warm || (request.object != 0 && rank == 0);
+  const bool may_be_warm = MayBeWarm(request, out);
   const Duration network =
       search.is_local ? Duration::zero() : settings_.cross_region_rtt;
   out.cost = search.costs->CostOf(may_be_warm);
@@ -126,7 +152,7 @@
       (ToSeconds(times.warm) * 2 + ToSeconds(times.cold)) / 3 * slowness;
   out.expected = FromSeconds(run);
   out.estimate = {
-      out.expected,
+      out.expected, request.object == 0 ? times.cold : times.warm,
       times.is_learned ? EstimateOrigin::kMean : EstimateOrigin::kObjective,
       static_cast<double>(times.measured_runs)};
   out.expected_total = FromSeconds(run + waiting * mean_run) + network;
@@ -150,8 +176,7 @@
   double limit = kQueueLimits[n];
   if (request.is_retry) limit = std::max(limit, kRetryQueueLimit);
   const double objective = ToSeconds(request.objective);
-  const double run =
-      ToSeconds(request.object == 0 ? search.times.cold : search.times.warm);
+  const double run = ToSeconds(choice.estimate.usual_run);
   const double excess = std::max(0.0, run - objective * kMaxCountedRunRatio);
   return FromSeconds(objective * limit + excess);
 }
@@ -221,7 +246,6 @@
   const std::vector<Candidate> ranked =
       RankCandidates(request, search.is_local, now);
   const ServiceTimeModel::Times& times = search.times;
-  const Duration limit = request.time_left - kDeadlineMargin;
   const double cold_penalty =
       ToSeconds(times.cold - times.warm) * kColdCostRatio;
   search.warm_ranks = WarmRanks(request.service, ranked.size());
@@ -250,11 +274,11 @@
         if (rank == 0) notices_->OnDeclined(it->info(), now);
         continue;
       }
-      const PlacementChoice choice = Evaluate(search, candidate, rank++);
-      if (times.is_learned && choice.expected_total > limit) {
-        search.details->CountTooLate(RejectionCause::kDeadline,
-                                     choice.expected_total, limit,
-                                     choice.estimate);
+      PlacementChoice choice = Evaluate(search, candidate, rank++);
+      if (IsTooLate(search, &choice)) {
+        search.details->CountTooLate(
+            RejectionCause::kDeadline, choice.expected_total,
+            request.time_left - kDeadlineMargin, choice.estimate);
         continue;
       }
       Duration latest{};
@@ -314,15 +338,18 @@
   CostEvaluation::Inputs costs = costs_.InputsOf(request);
   RefusalDetails details;
   details.is_time_measured = times.is_learned;
-  Search search{.request = &request,
-                .is_local = !prefers_remote,
-                .cold_rate = cold_rate,
-                .local_vms = local_vms,
-                .region_load = prefers_remote ? remote_load : local_load,
-                .now = now,
-                .times = times,
-                .details = &details,
-                .costs = &costs};
+  Search search{
+      .request = &request,
+      .is_local = !prefers_remote,
+      .cold_rate = cold_rate,
+      .local_vms = local_vms,
+      .region_load = prefers_remote ? remote_load : local_load,
+      .now = now,
+      .times = times,
+      .warm_verdict = evidence_.VerdictOn(ClassOf(request, true), now),
+      .cold_verdict = evidence_.VerdictOn(ClassOf(request, false), now),
+      .details = &details,
+      .costs = &costs};
   std::optional<PlacementChoice> first = FindBest(search);
   // The preferred region meets the objective, so no other is considered.
   if (first && first->expected_total <= request.objective) return *first;
@@ -332,8 +359,8 @@
     search.region_load = prefers_remote ? local_load : remote_load;
     second = FindBest(search);
   }
-  if (second &&
-      (!first || second->expected_total * 3 / 2 < first->expected_total))
+  if (second && (!first || (first->is_trial && !second->is_trial) ||
+                 second->expected_total * 3 / 2 < first->expected_total))
     first = second;
   if (first) return *first;
   PlacementChoice out;
@@ -388,6 +415,8 @@
     window_start_ = now;
   }
   if (notices_ != nullptr) notices_->OnSent(choice.instance->info(), now);
+  if (choice.is_trial)
+    evidence_.OnTrialSent(ClassOf(request, MayBeWarm(request, choice)), now);
   choice.instance->PlanRun({choice.cost,
                             choice.expected_total - choice.expected,
                             choice.instance->machine()->At(now)});
@@ -433,9 +462,17 @@
       costs_.OnRunEnded(request, instance, warmth, started_at, run, now);
   service_times_.OnResponse(request.route, request.objective, warmth,
                             out.usual);
+  evidence_.OnRun({request.service, request.route, out.kind}, now);
   return out;
 }
 
+void Placement::OnTrialSucceeded(const PlacementRequest& request) {
+  costs_.Forget(request);
+  service_times_.Forget(request.route, request.object != 0);
+  for (const bool is_warm : {true, false})
+    evidence_.Forget(ClassOf(request, is_warm));
+}
+
 void Placement::UpdateRegionSplit(
     const std::vector<std::string>& services,
     const std::map<std::string, std::vector<double>>& peer_shares,
@@ -448,6 +485,7 @@
     split_.OnLoad(service, loads.LocalLoad(), loads.RemoteLoad(),
                   peers == peer_shares.end() ? kNone : peers->second, now);
   }
+  evidence_.RemoveExpired(now);
   for (auto& [service, seen] : objects_) {
     std::erase_if(seen, [&](const auto& it) {
       return now - it.second > kObjectRetention;
--- a/src/traffic/placement.h
+++ b/src/traffic/placement.h
@@ -15,6 +15,7 @@
 #include "traffic/placement_types.h"
 #include "traffic/region_loads.h"
 #include "traffic/region_split.h"
+#include "traffic/run_evidence.h"
 #include "traffic/service_time_model.h"
 
 namespace rwf {
@@ -107,6 +108,9 @@
   RunReport OnRunEnded(const PlacementRequest& request, InstanceState* instance,
                        ServiceTimeModel::Warmth warmth, TimePoint started_at,
                        Duration run, TimePoint now);
+  // A request that was sent as a trial succeeded in time: its route's run times
+  // are learned anew. Must be called before OnRunEnded().
+  void OnTrialSucceeded(const PlacementRequest& request);
   const CostEstimator& costs() const { return costs_.estimator(); }
   const RegionSplit& split() const { return split_; }
 
@@ -147,6 +151,10 @@
     double region_load = 0;  // per slot
     TimePoint now{};
     ServiceTimeModel::Times times;
+    // What the estimates of warm and of cold runs may decide; the same without
+    // an object.
+    RunEvidence::Verdict warm_verdict{};
+    RunEvidence::Verdict cold_verdict{};
     size_t warm_ranks = 0;
     RefusalDetails* details = nullptr;
     CostEvaluation::Inputs* costs = nullptr;
@@ -154,6 +162,13 @@
   std::optional<PlacementChoice> FindBest(Search search);
   ColdPacer::Pace PaceOf(const InstanceState& it, double cold_rate,
                          size_t local_vms) const;
+  // Whether the object may be warm at the instance, as far as this VM knows.
+  static bool MayBeWarm(const PlacementRequest& request,
+                        const PlacementChoice& choice);
+  static RunClass ClassOf(const PlacementRequest& request, bool is_warm);
+  // Whether the request would miss its deadline there. Makes the choice a trial
+  // if it would, but the estimate of its run must be tested.
+  static bool IsTooLate(const Search& search, PlacementChoice* choice);
   // Returns why refusing this run is better for the region than admitting it,
   // if it is. For kLate, sets the latest response that would be accepted.
   std::optional<RejectionCause> RejectionOf(const Search& search,
@@ -180,6 +195,7 @@
   InstanceNotices* notices_;
   ServiceTimeModel service_times_;
   CostEvaluation costs_;
+  RunEvidence evidence_;
   ColdPacer pacer_;
   size_t total_vms_ = 1;
   // Loads by service, recomputed at most every kLoadCacheInterval.
--- a/src/traffic/placement_types.h
+++ b/src/traffic/placement_types.h
@@ -58,6 +58,7 @@
 // The expected time of a run without waiting, and what it rests on.
 struct RunEstimate {
   Duration run{};
+  Duration usual_run{};  // on a healthy instance that is warm for the object
   EstimateOrigin origin = EstimateOrigin::kObjective;
   double measured_runs = 0;  // weight of the measured runs
   friend bool operator==(const RunEstimate&, const RunEstimate&) = default;
@@ -87,8 +88,11 @@
 struct PlacementChoice {
   InstanceState* instance = nullptr;  // null: refused
   PlacementRefusal reason = PlacementRefusal::kNoInstance;
-  Duration expected{};        // of the run alone
-  RunEstimate estimate;       // behind `expected`
+  Duration expected{};   // of the run alone
+  RunEstimate estimate;  // behind `expected`
+  // Sent although its run is expected to take longer than the request has left,
+  // to test whether the estimate still holds.
+  bool is_trial = false;
   Duration expected_total{};  // including queue and network
   bool is_warm = false;       // certain: it recently ran the object for this VM
   bool is_remote = false;     // in another region
@@ -111,11 +115,12 @@
 
 // How a run compares with what is estimated of its route.
 struct RunReport {
-  Duration usual{};           // its time on a machine of usual speed
-  Duration upper{};           // the upper quantile on this machine
-  double factor = 1;          // of the machine during the run
-  double trust = 1;           // in what the instance reports of its machine
-  double share_within = 0;    // of the route's runs, within the upper quantile
+  Duration usual{};         // its time on a machine of usual speed
+  Duration upper{};         // the upper quantile on this machine
+  double factor = 1;        // of the machine during the run
+  double trust = 1;         // in what the instance reports of its machine
+  double share_within = 0;  // of the route's runs, within the upper quantile
+  CostEstimator::RunKind kind = CostEstimator::RunKind::kNoObject;
   bool is_in_effect = false;  // whether such runs are placed by the estimate
   friend bool operator==(const RunReport&, const RunReport&) = default;
 };
--- a/src/traffic/service_time_model.cc
+++ b/src/traffic/service_time_model.cc
@@ -58,4 +58,8 @@
   times_[route] = times;
 }
 
+void ServiceTimeModel::Forget(const std::string& route, bool has_object) {
+  (has_object ? times_ : times_without_object_).erase(route);
+}
+
 }  // namespace rwf
--- a/src/traffic/service_time_model.h
+++ b/src/traffic/service_time_model.h
@@ -35,6 +35,8 @@
   // uncertain run counts as cold unless it took about as long as a warm one.
   void OnResponse(const std::string& route, Duration objective, Warmth warmth,
                   Duration took);
+  // Forgets the times of requests with or without an object.
+  void Forget(const std::string& route, bool has_object);
 
  private:
   void OnResponseWithoutObject(const std::string& route, Duration took);
--- a/tests/traffic/run_estimates_test.cc
+++ b/tests/traffic/run_estimates_test.cc
@@ -47,7 +47,9 @@
     const PlacementChoice choice = placement_.Choose(request_, 0, 1, now_);
     if (choice.instance == nullptr) return false;
     placement_.OnSent(request_, choice, 0, 1, now_);
-    if (run <= request_.time_left) End(run);
+    if (run > request_.time_left) return true;
+    if (choice.is_trial) placement_.OnTrialSucceeded(request_);
+    End(run);
     return true;
   }
   // A run of a request that had enough time left.
@@ -164,6 +166,7 @@
   Use(Evaluation::kDistribution);
   REQUIRE(Send(kShortRun));
   // The region counts as full, with one free slot.
+  now_ += milliseconds(100);
   instance_->OnReport(15, 0, now_);
   CHECK(IsPlaced());
 }
