Let the ratio of an object to its route fade with time

An object whose runs had been long was expected to be too late for good: nothing was sent for it that could have lowered the ratio, and its route counted as measured by the runs of other objects.

The runs behind the ratio now lose half of their weight in 20 s, as those of the distributions do. "Object, runs were long and are short, is served again" failed before and passes now.

CostEstimator::Estimate and CostEvaluation::InputsOf take the time now, so the calls in remaining_work_test.cc, one of them within a CHECK, and in cost_simulation.cc pass it. The CHECK compares the same estimates as before; no other check changed.

--- a/src/traffic/cost_estimator.cc
+++ b/src/traffic/cost_estimator.cc
@@ -19,8 +19,14 @@
 
 }  // namespace
 
-double CostEstimator::ObjectRatio::Ratio() const {
-  return std::exp(log_sum / (weight + kObjectPriorWeight));
+double CostEstimator::ObjectRatio::DecayAt(TimePoint now) const {
+  const Duration age = std::max(Duration::zero(), now - at);
+  return std::exp2(-ToSeconds(age) / ToSeconds(kObjectHalfLife));
+}
+
+double CostEstimator::ObjectRatio::RatioAt(TimePoint now) const {
+  const double decay = DecayAt(now);
+  return std::exp(decay * log_sum / (decay * weight + kObjectPriorWeight));
 }
 
 CostEstimator::Route::Route(Duration objective)
@@ -36,10 +42,10 @@
   });
 }
 
-double CostEstimator::Route::RatioOf(uint64_t object) const {
+double CostEstimator::Route::RatioOf(uint64_t object, TimePoint now) const {
   if (object == 0 || !tells_objects_apart) return 1;
   const auto it = objects.find(object);
-  return it == objects.end() ? 1 : it->second.Ratio();
+  return it == objects.end() ? 1 : it->second.RatioAt(now);
 }
 
 CostEstimator::Route& CostEstimator::Find(const std::string& service,
@@ -55,9 +61,10 @@
 CostEstimator::RouteCosts CostEstimator::Estimate(const std::string& service,
                                                   const std::string& route,
                                                   Duration objective,
-                                                  uint64_t object) {
+                                                  uint64_t object,
+                                                  TimePoint now) {
   const Route& found = Find(service, route, objective);
-  const double ratio = found.RatioOf(object);
+  const double ratio = found.RatioOf(object, now);
   RouteCosts out;
   for (size_t n = 0; n < out.by_kind.size(); ++n)
     out.by_kind[n] = {&found.by_kind[n], ratio};
@@ -72,7 +79,7 @@
                                              uint64_t object, double seconds,
                                              bool is_exact, TimePoint now) {
   Route& found = Find(service, route, objective);
-  const double ratio = found.RatioOf(object);
+  const double ratio = found.RatioOf(object, now);
   const auto mean = [&](RunKind kind) {
     return ratio * found.by_kind[static_cast<size_t>(kind)].mean();
   };
@@ -132,8 +139,9 @@
     it.weight *= kept;
     it.log_sum *= kept;
   }
-  it.weight += 1;
-  it.log_sum += std::log(ratio);
+  const double decay = it.weight > 0 ? it.DecayAt(now) : 1;
+  it.weight = decay * it.weight + 1;
+  it.log_sum = decay * it.log_sum + std::log(ratio);
   it.at = now;
 }
 
--- a/src/traffic/cost_estimator.h
+++ b/src/traffic/cost_estimator.h
@@ -46,6 +46,9 @@
   static constexpr size_t kMaxObjects = 256;
   static constexpr double kObjectPriorWeight = 2;
   static constexpr double kMaxObjectWeight = 20;
+  // Time after which the runs of an object have half of their weight. A ratio
+  // that keeps requests away is corrected by no run.
+  static constexpr Duration kObjectHalfLife = RunDistribution::kHalfLife;
   // Weight of one run in the share of runs within the estimated quantile.
   static constexpr double kShareGain = 0.01;
 
@@ -58,7 +61,7 @@
   };
 
   RouteCosts Estimate(const std::string& service, const std::string& route,
-                      Duration objective, uint64_t object);
+                      Duration objective, uint64_t object, TimePoint now);
   // Records a run that took `seconds` on a machine of usual speed. Returns its
   // kind, decided by the time it took if the object's warmth is uncertain. A
   // time that may contain unknown waiting (`is_exact` false) counts only until
@@ -82,13 +85,14 @@
     double log_sum = 0;
     double weight = 0;
     TimePoint at{};
-    double Ratio() const;
+    double DecayAt(TimePoint now) const;
+    double RatioAt(TimePoint now) const;
   };
   struct Route {
     explicit Route(Duration objective);
     static bool HasUneven(const std::array<RunDistribution, 3>& kinds);
     // Returns the ratio of the object, 1 until the route's times are uneven.
-    double RatioOf(uint64_t object) const;
+    double RatioOf(uint64_t object, TimePoint now) const;
     // Run times, and run times divided by the ratio of their object.
     std::array<RunDistribution, 3> raw;
     std::array<RunDistribution, 3> by_kind;
--- a/src/traffic/cost_evaluation.cc
+++ b/src/traffic/cost_evaluation.cc
@@ -32,12 +32,12 @@
   return costs.Of(is_warm ? RunKind::kWarm : RunKind::kCold);
 }
 
-CostEvaluation::Inputs CostEvaluation::InputsOf(
-    const PlacementRequest& request) {
+CostEvaluation::Inputs CostEvaluation::InputsOf(const PlacementRequest& request,
+                                                TimePoint now) {
   return {
       request.object != 0, services_with_factors_.contains(request.service),
       estimator_.Estimate(request.service, request.route, request.objective,
-                          request.object),
+                          request.object, now),
       RemainingWork(estimator_.OfService(request.service, request.objective),
                     request.objective),
       seed_ += kSeedStep};
@@ -98,7 +98,7 @@
       request.service, request.route, request.objective, warmth, request.object,
       usual / unexplained, is_exact, now);
   const CostEstimator::RouteCosts costs = estimator_.Estimate(
-      request.service, request.route, request.objective, request.object);
+      request.service, request.route, request.objective, request.object, now);
   const RunCost cost = costs.Of(kind);
   // A prior says nothing about the machine.
   if (cost.distribution->weight() >= kMinJudgingWeight) {
--- a/src/traffic/cost_evaluation.h
+++ b/src/traffic/cost_evaluation.h
@@ -38,7 +38,7 @@
 
   // `seed` differs by VM.
   explicit CostEvaluation(uint64_t seed) : seed_(seed) {}
-  Inputs InputsOf(const PlacementRequest& request);
+  Inputs InputsOf(const PlacementRequest& request, TimePoint now);
   // An instance that has not reported yet is taken to be like the others of its
   // service. Evaluated otherwise, it would attract the requests of all VMs.
   static bool Applies(const Inputs& inputs, const InstanceState& it) {
--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -335,7 +335,7 @@
   const bool prefers_remote = PrefersRemote(request);
   const ServiceTimeModel::Times times = service_times_.Expected(
       request.route, request.objective, request.object != 0);
-  CostEvaluation::Inputs costs = costs_.InputsOf(request);
+  CostEvaluation::Inputs costs = costs_.InputsOf(request, now);
   RefusalDetails details;
   details.is_time_measured = times.is_learned;
   Search search{
--- a/tests/traffic/cost_simulation.cc
+++ b/tests/traffic/cost_simulation.cc
@@ -183,7 +183,7 @@
     return out;
   }
   PlacementChoice AlternativeChoice(Vm* vm, const Run& run) {
-    CostEvaluation::Inputs inputs = vm->costs.InputsOf(run.request);
+    CostEvaluation::Inputs inputs = vm->costs.InputsOf(run.request, Now());
     std::vector<InstanceState*> all = vm->registry.OfService("s");
     std::shuffle(all.begin(), all.end(), random_);
     if (policy_ == TestPolicy::kTwoChoices) all.resize(2);
--- a/tests/traffic/remaining_work_test.cc
+++ b/tests/traffic/remaining_work_test.cc
@@ -101,11 +101,11 @@
 TEST_CASE("Cost estimator, unknown routes, share one estimate") {
   CostEstimator it;
   for (size_t n = 0; n < 3 * CostEstimator::kMaxRoutes; ++n)
-    it.Estimate("s", "r" + std::to_string(n), kObjective, n);
-  const auto last = it.Estimate("s", "x", kObjective, 1);
-  const auto other = it.Estimate("s", "y", kObjective, 1);
+    it.Estimate("s", "r" + std::to_string(n), kObjective, n, kStart);
+  const auto last = it.Estimate("s", "x", kObjective, 1, kStart);
+  const auto other = it.Estimate("s", "y", kObjective, 1, kStart);
   CHECK(last.by_kind == other.by_kind);
-  CHECK(it.Estimate("s", "r1", kObjective, 1).by_kind != last.by_kind);
+  CHECK(it.Estimate("s", "r1", kObjective, 1, kStart).by_kind != last.by_kind);
 }
 
 }  // namespace
--- a/tests/traffic/run_estimates_test.cc
+++ b/tests/traffic/run_estimates_test.cc
@@ -122,6 +122,36 @@
   }
 }
 
+// Guards against an object that stays refused for good after its runs were long
+// for a while, although those of its route are short.
+TEST_CASE_FIXTURE(RunEstimatesFixture,
+                  "Object, runs were long and are short, is served again") {
+  Use(Evaluation::kDistribution);
+  const auto run_once = [&](uint64_t object, Duration run) {
+    request_.object = object;
+    now_ += milliseconds(20);
+    request_.time_left = seconds(20);
+    const PlacementChoice choice = placement_.Choose(request_, 0, 1, now_);
+    REQUIRE(choice.instance != nullptr);
+    placement_.OnSent(request_, choice, 0, 1, now_);
+    placement_.OnRunEnded(request_, instance_, ServiceTimeModel::Warmth::kWarm,
+                          now_, run, now_);
+  };
+  // Run times that differ by object, one in ten long.
+  for (int n = 0; n < 1000; ++n) {
+    const bool is_long = n % 10 == 0;
+    run_once(is_long ? 9 : 1 + n % 8, is_long ? seconds(4) : milliseconds(200));
+  }
+  request_.object = 9;
+  request_.time_left = seconds(2);
+  REQUIRE_FALSE(IsPlaced());
+  // The other objects go on for a minute.
+  for (int n = 0; n < 3000; ++n) run_once(1 + n % 8, milliseconds(200));
+  request_.object = 9;
+  request_.time_left = seconds(2);
+  CHECK(IsPlaced());
+}
+
 // Guards against an estimate that one request a minute never corrects.
 TEST_CASE_FIXTURE(
     RunEstimatesFixture,
