Test an estimate also where only the sum of run and network is too long

A trial was sent only if the run alone was expected to exceed the time left. With the network between regions on top, or a short wait, a route was refused for good although the run decided. A trial is now due wherever the response would be in time without the run.

--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -110,9 +110,10 @@
   const RunEvidence::Verdict verdict =
       MayBeWarm(request, *choice) ? search.warm_verdict : search.cold_verdict;
   if (verdict == RunEvidence::Verdict::kUnmeasured) return false;
-  // Waiting follows from what the instance reports, which needs no trial.
-  choice->is_trial =
-      verdict == RunEvidence::Verdict::kTrialDue && choice->expected > limit;
+  // A wait that is too long by itself follows from what the instance reports,
+  // which needs no trial.
+  choice->is_trial = verdict == RunEvidence::Verdict::kTrialDue &&
+                     choice->expected_total - choice->expected <= limit;
   return !choice->is_trial;
 }
 
--- a/tests/traffic/run_estimates_test.cc
+++ b/tests/traffic/run_estimates_test.cc
@@ -170,6 +170,24 @@
   }
 }
 
+// Guards against an estimate that refuses for good where the run alone would be
+// in time, and only its sum with the network is not.
+TEST_CASE_FIXTURE(RunEstimatesFixture,
+                  "Route, only other regions serve it, is served again") {
+  registry_.Remove("i");
+  InstanceInfo info;
+  info.id = "j";
+  info.service = "s";
+  info.region = "away";
+  info.slots = 16;
+  instance_ = registry_.Put(info, now_);
+  Measure(milliseconds(770), 30);
+  int served = 0;
+  for (int n = 0; n < 100; ++n, now_ += milliseconds(100))
+    served += Send(kShortRun) ? 1 : 0;
+  CHECK(served > 80);
+}
+
 // Guards against requests that wait for their deadline although it is known
 // that they cannot be served.
 TEST_CASE_FIXTURE(RunEstimatesFixture,
