--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -96,6 +96,14 @@
     if (fd >= 0) setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   }
 
+  // Makes the close discard what the server has not received: it would be
+  // delivered and run later otherwise.
+  void ResetOnClose() const {
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(raw_));
+    const linger reset{1, 0};
+    if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+
   const HttpTarget& target() const { return target_; }
   evhttp_connection* raw() const { return raw_; }
   bool has_sent() const { return sent_bytes_ > 0; }
@@ -269,6 +277,7 @@
   const std::shared_ptr<Call> call = std::move(it->second);
   calls_.erase(it);
   if (call->raw != nullptr) {
+    call->connection->ResetOnClose();
     evhttp_cancel_request(call->raw);
     call->raw = nullptr;
   }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -89,14 +89,30 @@
 void HttpExchange::OnCallerDisconnect(std::function<void()> callback) {
   on_caller_disconnect_ = std::move(callback);
   if (closed_event_ != nullptr || has_responded()) return;
-  closed_event_.reset(event_new(base_, SocketOf(raw_), EV_CLOSED,
+  WatchForClose(EV_CLOSED | EV_READ);
+}
+
+void HttpExchange::WatchForClose(short events) {
+  closed_event_.reset(event_new(base_, SocketOf(raw_), events,
                                 &HttpExchange::HandleClosed, this));
   event_add(closed_event_.get(), nullptr);
 }
 
-void HttpExchange::HandleClosed(evutil_socket_t, short, void* self) {
+void HttpExchange::HandleClosed(evutil_socket_t fd, short what, void* self) {
   const auto exchange = static_cast<HttpExchange*>(self)->shared_from_this();
   if (exchange->has_responded()) return;
+  // libevent reports a reset connection as readable, not as closed.
+  if ((what & EV_CLOSED) == 0) {
+    char c = 0;
+    const ssize_t n = recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool is_empty =
+        n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    if (n > 0 || is_empty) {
+      // Bytes of the caller's next request stay unread.
+      exchange->WatchForClose(n > 0 ? EV_CLOSED : EV_CLOSED | EV_READ);
+      return;
+    }
+  }
   const auto callback = std::move(exchange->on_caller_disconnect_);
   exchange->on_caller_disconnect_ = nullptr;
   if (callback) callback();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,7 +38,8 @@
   void Abort();
 
  private:
-  static void HandleClosed(evutil_socket_t, short, void* self);
+  void WatchForClose(short events);
+  static void HandleClosed(evutil_socket_t fd, short what, void* self);
 
   event_base* base_;
   evhttp_request* raw_;
--- a/tests/gateway/upstream_pool_test.cc
+++ b/tests/gateway/upstream_pool_test.cc
@@ -5,13 +5,13 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "stalled_server.h"
+
 namespace rwf {
 namespace {
 
@@ -158,52 +158,13 @@
   CHECK(pool.counters().reused == 1);
 }
 
-// An instance that accepts a connection and reads nothing until asked to, as
-// behind a stalled link: what it is sent stays with the kernel of the sender.
-class StalledInstance {
- public:
-  StalledInstance() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int bytes = 4096;
-    setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
-    REQUIRE(listen(listener_, 1) == 0);
-    socklen_t n = sizeof(to);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&to), &n);
-    port = ntohs(to.sin_port);
-  }
-  StalledInstance(const StalledInstance&) = delete;
-  StalledInstance& operator=(const StalledInstance&) = delete;
-  ~StalledInstance() { close(listener_); }
-
-  // Returns what arrives until the connection ends.
-  std::string ReadAll() const {
-    const int fd = accept(listener_, nullptr, nullptr);
-    const timeval timeout{5, 0};
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-    std::string out;
-    char buf[1024];
-    for (ssize_t n = 0; (n = read(fd, buf, sizeof(buf))) > 0;)
-      out.append(buf, static_cast<size_t>(n));
-    close(fd);
-    return out;
-  }
-
-  uint16_t port = 0;
-
- private:
-  int listener_;
-};
-
 // Guards against a cancelled request that reaches its instance seconds later,
 // when the instance may be leaving: a closed connection still delivers what it
 // holds.
 TEST_CASE("Request, cancelled before the instance read it, never arrives") {
   EventLoop loop;
   UpstreamPool pool(&loop);
-  const StalledInstance instance;
+  const StalledServer instance;
   const std::string last = "the last bytes";
   UpstreamPool::Request request;
   request.head = "POST /x HTTP/1.1\r\nContent-Length: 20014\r\n\r\n" +
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -5,6 +5,7 @@
 #include "net/http_server.h"
 #include "net/net_error.h"
 #include "net/raw_server.h"
+#include "stalled_server.h"
 
 namespace rwf {
 namespace {
@@ -185,5 +186,30 @@
   held->Respond(JsonResponse(200, ""));
 }
 
+// Guards against a cancelled request that the server runs later, when the link
+// works again: a closed connection still delivers what it holds.
+TEST_CASE_FIXTURE(
+    HttpClientFixture,
+    "HttpClient, cancelled before the server read, sends no more") {
+  const StalledServer server;
+  const std::string last = "the last bytes";
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/x";
+  request.body = std::string(20000, 'x') + last;
+  const auto run_for = [&](Duration time) {
+    const auto timer = loop.After(time, [&] { loop.Stop(); });
+    loop.Run();
+  };
+  const auto id = client.Send({"127.0.0.1", server.port}, request,
+                              std::chrono::seconds(5), [](HttpOutcome) {});
+  run_for(milliseconds(100));
+  REQUIRE(client.Cancel(id));
+  run_for(milliseconds(20));
+  const std::string received = server.ReadAll();
+  CHECK(received.starts_with("POST"));
+  CHECK_FALSE(received.ends_with(last));
+}
+
 }  // namespace
 }  // namespace rwf
