--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -201,8 +201,9 @@
     const auto timer = loop.After(time, [&] { loop.Stop(); });
     loop.Run();
   };
-  const auto id = client.Send({"127.0.0.1", server.port}, request,
-                              std::chrono::seconds(5), [](HttpOutcome) {});
+  const auto id =
+      client.Send({"127.0.0.1", server.port}, request, std::chrono::seconds(5),
+                  [](const HttpOutcome&) {});
   run_for(milliseconds(100));
   REQUIRE(client.Cancel(id));
   run_for(milliseconds(20));
