Seed the pace at cold instances by the VM, not only by its start

Cause: the phase was seeded by the start of the VM in milliseconds. VMs that a deployment starts together share it, so they had the same phase.

"Pacing seeds, VMs started together, spread requests to a cold one" failed before (for 17 of 50 instances up to 21 in the first second, allowed 18.05) and passes now.

--- a/src/gateway/fleet_entry.cc
+++ b/src/gateway/fleet_entry.cc
@@ -1,3 +1,4 @@
+#include "base/hash.h"
 #include "base/json_reader.h"
 #include "config/ipv4.h"
 #include "gateway/fleet.h"
@@ -11,6 +12,8 @@
 
 }  // namespace
 
+uint64_t PacingSeed(const FleetVm& vm) { return Hash64(vm.vm, vm.incarnation); }
+
 std::string FormatFleetVm(const FleetVm& vm) {
   return Json{{"zone", vm.zone},
               {"region", vm.region},
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "traffic/cold_pacer.h"
 #include "traffic/notices.h"
 
 namespace rwf {
@@ -132,5 +133,32 @@
   CHECK(sent >= 8);
 }
 
+// Guards against VMs that all send their first request to a cold instance at
+// the same moment because they started in the same millisecond.
+TEST_CASE("Pacing seeds, VMs started together, spread requests to a cold one") {
+  constexpr size_t kVms = 21;
+  constexpr double kRate = 6.7;
+  constexpr double kMaxPerSecond = kRate * 1.5 + 8;
+  constexpr TimePoint kStart{std::chrono::hours(1)};
+  std::vector<ColdPacer> pacers;
+  for (size_t n = 0; n < kVms; ++n) {
+    FleetVm vm;
+    vm.vm = "v" + std::to_string(n);
+    vm.incarnation = 1775586993006;
+    pacers.emplace_back(PacingSeed(vm));
+  }
+  for (int instance = 0; instance < 50; ++instance) {
+    const std::string id = "i" + std::to_string(instance);
+    const ColdPacer::Pace pace{kStart + std::chrono::seconds(3), kRate, kVms};
+    int sent = 0;
+    for (Duration t{}; t < std::chrono::seconds(1);
+         t += std::chrono::milliseconds(10)) {
+      for (ColdPacer& it : pacers)
+        sent += it.TryAcquire(id, pace, kStart + t) ? 1 : 0;
+    }
+    CHECK(sent <= kMaxPerSecond);
+  }
+}
+
 }  // namespace
 }  // namespace rwf
