Test that a trial which succeeds serves its route again

Cause: only the tests of Placement called OnTrialSucceeded(); that the forwarder does so was not tested, and without it a trial every few seconds would be all that a refused route gets. Change: a case of the data path, with an estimate of 5 s, a trial and then instant responses.

--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -636,6 +636,35 @@
   CHECK(leaving.requests == 1);
 }
 
+// Guards against a route that stays refused although a request that was sent to
+// test its estimate succeeded.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Route, trial of its estimate succeeds, is served again") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& text) { return FullResponse(text); });
+  AddInstance("i1", instance.port);
+  PlacementRequest measured;
+  measured.service = "s";
+  measured.route = "safe";
+  measured.objective = std::chrono::milliseconds(600);
+  for (int n = 0; n < RunEvidence::kMinRuns; ++n) {
+    placement.OnRunEnded(measured, registry.Find("i1"),
+                         ServiceTimeModel::Warmth::kNoObject, EventLoop::Now(),
+                         std::chrono::seconds(5), EventLoop::Now());
+  }
+  CHECK(SendRequest(RequestText("/safe/x", "id0")).status == 503);
+  const auto timer =
+      loop.After(RunEvidence::kMinTrialPeriod + std::chrono::milliseconds(100),
+                 [this] { loop.Stop(); });
+  loop.Run();
+  for (int n = 1; n < 20; ++n) {
+    CAPTURE(n);
+    CHECK(
+        SendRequest(RequestText("/safe/x", "id" + std::to_string(n))).status ==
+        200);
+  }
+}
+
 // Guards against a notice that is lost because the entry of the instance lapsed
 // while the request was running, and came back later.
 TEST_CASE_FIXTURE(DataPathFixture,
