Tell refused requests as measured by the evidence that refused them

Cause: no_place and the decision to wait for capacity still took "measured" from ServiceTimeModel, true after one response, while another estimate may have refused: the last place where two models met. Change: both take it from RunEvidence.

--- a/src/traffic/placement.cc
+++ b/src/traffic/placement.cc
@@ -338,7 +338,6 @@
       request.route, request.objective, request.object != 0);
   CostEvaluation::Inputs costs = costs_.InputsOf(request, now);
   RefusalDetails details;
-  details.is_time_measured = times.is_learned;
   Search search{
       .request = &request,
       .is_local = !prefers_remote,
@@ -351,6 +350,9 @@
       .cold_verdict = evidence_.VerdictOn(ClassOf(request, false), now),
       .details = &details,
       .costs = &costs};
+  const RunEvidence::Verdict usual_verdict =
+      request.object == 0 ? search.cold_verdict : search.warm_verdict;
+  details.is_time_measured = usual_verdict != RunEvidence::Verdict::kUnmeasured;
   std::optional<PlacementChoice> first = FindBest(search);
   // The preferred region meets the objective, so no other is considered.
   if (first && first->expected_total <= request.objective) return *first;
--- a/src/traffic/placement_types.h
+++ b/src/traffic/placement_types.h
@@ -73,7 +73,8 @@
   Duration expected{};
   Duration allowed{};
   RunEstimate estimate;
-  bool is_time_measured = false;  // of the route; false: defaults
+  // Whether enough runs of the route were measured for its estimate to refuse.
+  bool is_time_measured = false;
 
   void Count(RejectionCause cause) { ++rejected[static_cast<size_t>(cause)]; }
   // Counts an instance whose response would come after `latest`.
--- a/src/traffic/service_time_model.h
+++ b/src/traffic/service_time_model.h
@@ -14,8 +14,7 @@
   struct Times {
     Duration cold{};
     Duration warm{};
-    // False while these are defaults, which never cause a refusal.
-    bool is_learned = false;
+    bool is_learned = false;  // false: defaults
     int measured_runs = 0;
     friend bool operator==(const Times&, const Times&) = default;
   };
