Seed the delay of dials between VMs by the VM as well

Cause: the same as at cold instances. PeerLinks took the start of the VM in milliseconds as the seed of its random delays, so VMs that start together dial again at the same moments. Change: both take RandomSeed(), renamed since it is no longer for pacing alone; the test case keeps its checks under the new name.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -75,7 +75,7 @@
 Result<void> Fleet::Start(const std::string& secret) {
   auto links = std::make_unique<PeerLinks>(
       loop_, LinkIdentity{kClusterName, self_.vm, self_.incarnation, {secret}},
-      self_.incarnation);
+      RandomSeed(self_));
   const Result<uint16_t> port = links->Listen(self_.address, self_.peer_port);
   if (!port) return tl::unexpected<Error>(port.error());
   links_ = std::move(links);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -33,9 +33,10 @@
   friend bool operator==(const FleetVm&, const FleetVm&) = default;
 };
 
-// Seeds what must differ between VMs, such as the pace at cold instances. VMs
-// may start in the same millisecond, so the incarnation alone does not differ.
-uint64_t PacingSeed(const FleetVm& vm);
+// Returns a seed for what must differ between VMs, such as the pace at cold
+// instances or the delay of dials. The incarnation alone would not do: VMs may
+// start in the same millisecond.
+uint64_t RandomSeed(const FleetVm& vm);
 
 // Format and parse the entry of a VM in the store. Parsing fails for any other
 // text.
--- a/src/gateway/fleet_entry.cc
+++ b/src/gateway/fleet_entry.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-uint64_t PacingSeed(const FleetVm& vm) { return Hash64(vm.vm, vm.incarnation); }
+uint64_t RandomSeed(const FleetVm& vm) { return Hash64(vm.vm, vm.incarnation); }
 
 std::string FormatFleetVm(const FleetVm& vm) {
   return Json{{"zone", vm.zone},
--- a/tests/gateway/fleet_test.cc
+++ b/tests/gateway/fleet_test.cc
@@ -135,7 +135,7 @@
 
 // Guards against VMs that all send their first request to a cold instance at
 // the same moment because they started in the same millisecond.
-TEST_CASE("Pacing seeds, VMs started together, spread requests to a cold one") {
+TEST_CASE("Random seeds, VMs started together, spread requests to a cold one") {
   constexpr size_t kVms = 21;
   constexpr double kRate = 6.7;
   constexpr double kMaxPerSecond = kRate * 1.5 + 8;
@@ -145,7 +145,7 @@
     FleetVm vm;
     vm.vm = "v" + std::to_string(n);
     vm.incarnation = 1775586993006;
-    pacers.emplace_back(PacingSeed(vm));
+    pacers.emplace_back(RandomSeed(vm));
   }
   for (int instance = 0; instance < 50; ++instance) {
     const std::string id = "i" + std::to_string(instance);
