Refuse requests to HttpServer whose head is against the syntax

Upstreams of redwingferryd could get a line such as `X-Workspace : other`, and a body that `Content-Length : 2` announces was taken for a second request.

Cause: evhttp takes any bytes up to the colon for the name of a field, any transfer coding but "chunked" for none, and a target with control bytes.

Change: HttpServer checks the target, the fields and the framing of what evhttp has read, and answers 400 and closes the connection otherwise.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "net/message_validator.h"
 #include "net/net_error.h"
 
 namespace rwf {
@@ -196,8 +197,17 @@
                                   &HttpServer::HandleConnectionClosed, server);
   }
   ++server->open_exchanges_;
-  server->handler_(std::make_shared<HttpExchange>(
-      server->loop_->base(), raw, [server] { --server->open_exchanges_; }));
+  const auto exchange = std::make_shared<HttpExchange>(
+      server->loop_->base(), raw, [server] { --server->open_exchanges_; });
+  if (IsRequestHeadValid(evhttp_request_get_uri(raw),
+                         exchange->request().headers)) {
+    server->handler_(exchange);
+    return;
+  }
+  // Where the next request begins is in doubt.
+  HttpResponse refusal = JsonResponse(400, R"({"code":"bad-request"})");
+  refusal.headers.Add("Connection", "close");
+  exchange->Respond(refusal);
 }
 
 }  // namespace rwf
