Strip blanks that surround field values

Callers could see 502 for a proper response: with a blank after the value of X-Request-Id, the id was not that of the request. RFC 9110, 5.5, excludes the blanks from the value.

Cause: http_parser leaves blanks after a value, evhttp tabs around it. Found by the sound rows of the table of messages.

Change: both readers strip them.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -134,7 +134,8 @@
 void MessageParser::FlushField() {
   if (!has_value_ && field_.empty()) return;
   ++fields_;
-  message_.headers.Add(std::move(field_), std::move(value_));
+  // http_parser leaves the blanks that follow a value.
+  message_.headers.Add(std::move(field_), std::string(TrimBlanks(value_)));
   field_.clear();
   value_.clear();
   has_value_ = false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -43,7 +43,8 @@
   const evkeyvalq* fields = evhttp_request_get_input_headers(raw);
   for (const evkeyval* it = fields->tqh_first; it != nullptr;
        it = it->next.tqe_next) {
-    out.headers.Add(it->key, it->value);
+    // evhttp leaves tabs around a value.
+    out.headers.Add(it->key, std::string(TrimBlanks(it->value)));
   }
   evbuffer* buf = evhttp_request_get_input_buffer(raw);
   out.body.resize(evbuffer_get_length(buf));
