End responses with status 304 or 1xx at their head

Callers with conditional requests saw 504 at their deadline where the 304 of the instance had a Content-Length, and 502 since the validator stands before the parser.

Cause: http_parser awaits the body that the length announces; RFC 9112, 6.3, says that none follows. Found by the sound rows of the table of messages.

Change: the parser tells http_parser that no body follows.

Measured: "Response, without a body, ends with its head" failed before for the 304 with a length; it passes now.

--- a/src/http/parser.cc
+++ b/src/http/parser.cc
@@ -30,11 +30,16 @@
          state != ParseState::kComplete;
 }
 
+// True for a response that ends with its head, whatever its fields say.
+bool EndsWithHead(const http_parser& raw, bool is_head_response) {
+  return raw.status_code / 100 == 1 ||
+         !HasResponseBody(raw.status_code, is_head_response);
+}
+
 // http_parser has no public function for this.
 bool IsSelfDelimited(const http_parser& raw, bool is_head_response) {
-  return is_head_response || raw.status_code / 100 == 1 ||
-         raw.status_code == 204 || raw.status_code == 304 ||
-         (raw.flags & F_CHUNKED) != 0 || raw.content_length != ULLONG_MAX;
+  return EndsWithHead(raw, is_head_response) || (raw.flags & F_CHUNKED) != 0 ||
+         raw.content_length != ULLONG_MAX;
 }
 
 void AppendFields(const HttpHeaders& headers, std::string* out) {
@@ -184,7 +189,7 @@
   }
   message.status = raw->status_code;
   message.is_self_delimited = IsSelfDelimited(*raw, self->is_head_response_);
-  return self->is_head_response_ ? 1 : 0;
+  return EndsWithHead(*raw, self->is_head_response_) ? 1 : 0;
 }
 
 int MessageParser::HandleBody(http_parser* raw, const char* data, size_t n) {
--- a/tests/http/message_syntax_test.cc
+++ b/tests/http/message_syntax_test.cc
@@ -92,7 +92,8 @@
         Row{"HTTP/1.1 200 OK\r\n" + chunked, true},
         Row{"HTTP/1.1 200 OK\r\n\r\n", true},
         Row{"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", true},
-        Row{"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", false}}) {
+        Row{"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", false},
+        Row{"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", false}}) {
     CAPTURE(row.text);
     MessageParser parser(HttpMessageType::kResponse, {});
     parser.Reset(row.is_head_response);
