Refuse waiting requests as soon as they can not end in time

Cause: "Shortage, latest start passed, refuses as not run" failed once in a run of all gateway tests. A waiting request whose latest start has passed was refused at the next tick, up to 40 ms later.

Change: a timer is set for the first latest start.

--- a/src/gateway/shortage_control.cc
+++ b/src/gateway/shortage_control.cc
@@ -76,7 +76,10 @@
       queue_.Offer({id, request.service, workspace, request.priority, run,
                     arrived_at + request.objective, deadline},
                    EventLoop::Now());
-  if (!refusal) return true;
+  if (!refusal) {
+    ScheduleExpiry();
+    return true;
+  }
   *retry_after = *refusal;
   return false;
 }
@@ -114,8 +117,22 @@
   const TimePoint now = EventLoop::Now();
   for (const std::string& service : queue_.WaitingServices())
     StartWaiting(service, now, max_refusals);
-  for (const AdmissionQueue::Refusal& it : queue_.TakeRefused(now))
+  RefuseExpired();
+}
+
+void ShortageControl::RefuseExpired() {
+  for (const AdmissionQueue::Refusal& it : queue_.TakeRefused(EventLoop::Now()))
     handlers_.refuse(it.id, it.retry_after);
+  ScheduleExpiry();
+}
+
+void ShortageControl::ScheduleExpiry() {
+  expiry_timer_.reset();
+  const std::optional<TimePoint> expiry = queue_.NextExpiry();
+  if (!expiry) return;
+  const Duration wait = *expiry - EventLoop::Now();
+  expiry_timer_ = loop_->After(std::max(wait, Duration::zero()),
+                               [this] { RefuseExpired(); });
 }
 
 void ShortageControl::RefuseAll() {
--- a/src/gateway/shortage_control.h
+++ b/src/gateway/shortage_control.h
@@ -18,7 +18,7 @@
 class ShortageControl {
  public:
   // Interval at which waiting requests are offered to instances whose reports
-  // show free capacity, and refused once they can not end in time.
+  // show free capacity.
   static constexpr Duration kInterval = std::chrono::milliseconds(40);
   // Weight of an instance's last report below which the service counts as one
   // that reports no load.
@@ -75,6 +75,10 @@
  private:
   void Tick(int max_refusals);
   void OnEndedTimer();
+  // Refuses requests that can no longer end in time.
+  void RefuseExpired();
+  // Calls RefuseExpired when the next request can no longer end in time.
+  void ScheduleExpiry();
 
   EventLoop* loop_;
   InstanceRegistry* registry_;
@@ -83,6 +87,7 @@
   AdmissionQueue queue_;
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> ended_timer_;  // set while a start is due
+  std::unique_ptr<Timer> expiry_timer_;
 };
 
 }  // namespace rwf
--- a/src/traffic/admission_queue.cc
+++ b/src/traffic/admission_queue.cc
@@ -196,6 +196,15 @@
   return true;
 }
 
+std::optional<TimePoint> AdmissionQueue::NextExpiry() const {
+  std::optional<TimePoint> out;
+  for (const auto& [name, service] : services_) {
+    for (const Entry& it : service.entries)
+      out = std::min(out.value_or(it.latest_start), it.latest_start);
+  }
+  return out;
+}
+
 std::vector<AdmissionQueue::Refusal> AdmissionQueue::TakeRefused(
     TimePoint now) {
   for (auto& [name, service] : services_) {
--- a/src/traffic/admission_queue.h
+++ b/src/traffic/admission_queue.h
@@ -77,6 +77,8 @@
   bool Cancel(uint64_t id);
   // Returns the requests that have left the queue without a start.
   std::vector<Refusal> TakeRefused(TimePoint now);
+  // Returns the first time after which a queued request can not end in time.
+  std::optional<TimePoint> NextExpiry() const;
   // Removes all requests, which are to be refused.
   std::vector<uint64_t> Clear();
 
--- a/tests/traffic/admission_queue_test.cc
+++ b/tests/traffic/admission_queue_test.cc
@@ -361,6 +361,25 @@
   CHECK(queue.size() == 8);
 }
 
+// Guards against holding a request that can no longer end in time.
+TEST_CASE_FIXTURE(AdmissionQueueFixture,
+                  "Admission queue, requests wait, names the first expiry") {
+  CHECK_FALSE(queue.NextExpiry().has_value());
+  EndAttempts(10);
+  WaitingRequest strict = Request(2);
+  strict.ends_at = strict.in_time_until;
+  CHECK(!queue.Offer(Request(1), now).has_value());
+  CHECK(!queue.Offer(strict, now).has_value());
+  const std::optional<TimePoint> expiry = queue.NextExpiry();
+  REQUIRE(expiry.has_value());
+  CHECK(queue.TakeRefused(*expiry).empty());
+  const auto refused = queue.TakeRefused(*expiry + std::chrono::nanoseconds(1));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused.front().id == 2);
+  REQUIRE(queue.NextExpiry().has_value());
+  CHECK(*queue.NextExpiry() > *expiry);
+}
+
 // Guards against a start that can not end in time, and against holding a
 // request until its deadline.
 TEST_CASE_FIXTURE(AdmissionQueueFixture,
