Keep connections open until the caller has received the response

Cause: a response counted as delivered once the kernel had taken its last byte. The connection was closed 1 s later, or counted as idle. Closing it while the caller goes on sending resets it, and the kernel drops what the caller has not acknowledged.

Change: above 16 KiB, the bytes that are not acknowledged are asked of the kernel. The idle timeout starts when there are none. A connection that ends is half-closed, what still arrives is dropped, and it is closed by the caller, 20 s after the last progress, or by the end of the grace; after refused input 1 s after the response was acknowledged, as input may go on without end. The timeout of writes counts acknowledged bytes as progress, the bound on connections closes readers last, and a caller that has ended only its requests gets the responses that are not sent yet.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,11 +1,13 @@
 #include "gateway/caller_connection.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -36,12 +38,11 @@
 }
 
 void CallerConnection::UpdateReadTimeout() {
-  Duration timeout{};
-  if (is_lingering_) {
-    timeout = kLingerTimeout;
-  } else if (is_reading_ && !must_wait_) {
+  Duration timeout{};  // zero: none
+  if (is_reading_ && !must_wait_) {
     timeout = has_head_ ? kStallTimeout : owner_->limits().header_timeout;
-  } else if (!is_reading_ && !held_ && queue_.empty() && OutputBytes() == 0) {
+  } else if (!is_lingering_ && !is_reading_ && !held_ && queue_.empty() &&
+             !is_delivering()) {
     timeout = owner_->limits().idle_timeout;
   }
   if (timeout == read_timeout_) return;
@@ -75,8 +76,10 @@
                                     void* arg) {
   if (info->n_deleted == 0) return;
   auto* it = static_cast<CallerConnection*>(arg);
-  it->progress_at_ = EventLoop::Now();
+  it->progress_at_ = it->delivery_progress_at_ = EventLoop::Now();
   it->output_holder_.OnProgress(it->progress_at_);
+  it->untracked_bytes_ += info->n_deleted;
+  if (it->untracked_bytes_ > kMaxUntrackedBytes) it->StartDeliveryChecks();
   it->CountOutput();
 }
 
@@ -240,6 +243,7 @@
 }
 
 void CallerConnection::Refuse(int status, HttpHeaders headers) {
+  is_input_refused_ = true;
   headers.Add("Content-Type", "application/json");
   queue_.AddRefusal(
       {status, std::move(headers), Body(R"({"error":"request refused"})")});
@@ -307,40 +311,118 @@
   UpdateReadTimeout();
 }
 
+void CallerConnection::StartDeliveryChecks() {
+  if (delivery_timer_ != nullptr) return;
+  delivery_timer_ = owner_->loop()->Every(kDeliveryCheckInterval,
+                                          [this] { CheckDelivery(); });
+}
+
+void CallerConnection::CheckDelivery() {
+  int n = 0;
+  const bool is_known = ioctl(bufferevent_getfd(bev_), SIOCOUTQ, &n) == 0;
+  const size_t unacknowledged = is_known && n > 0 ? static_cast<size_t>(n) : 0;
+  const TimePoint now = EventLoop::Now();
+  if (unacknowledged < unacknowledged_bytes_)
+    progress_at_ = delivery_progress_at_ = now;
+  unacknowledged_bytes_ = unacknowledged;
+  if (unacknowledged > 0 || OutputBytes() > 0) {
+    StartDeliveryChecks();
+  } else {
+    untracked_bytes_ = 0;
+    delivery_timer_.reset();
+  }
+  UpdateReadTimeout();
+}
+
 void CallerConnection::HandleWrite(bufferevent*, void* arg) {
   auto* it = static_cast<CallerConnection*>(arg);
   if (it->is_lingering_ || it->OutputBytes() > 0) return;
-  if (it->is_last_sent_) {
+  if (it->is_input_closed_) {
+    it->owner_->Close(it);
+  } else if (it->is_last_sent_) {
     it->Linger();
-    return;
+  } else {
+    it->ReadMore();
   }
-  it->ReadMore();
 }
 
 void CallerConnection::Linger() {
   queue_.Close();
   is_lingering_ = true;
+  lingering_since_ = EventLoop::Now();
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
-  // A caller that goes on sending does not prolong it.
-  close_timer_ =
-      owner_->loop()->After(kLingerTimeout, [this] { owner_->Close(this); });
+  ScheduleLingerEnd();
   // Reading is disabled after a read timeout.
   bufferevent_enable(bev_, EV_READ);
   ReadMore();
 }
 
+TimePoint CallerConnection::LingerEnd() const {
+  // A caller that goes on sending does not prolong it.
+  const TimePoint end = lingering_since_ + kLingerTimeout;
+  if (delivery_progress_at_ == TimePoint{}) return end;
+  // Input that was refused may go on without end.
+  const bool is_short = is_input_refused_ && !is_delivering();
+  return std::max(
+      end, delivery_progress_at_ + (is_short ? kLingerTimeout : kStallTimeout));
+}
+
+void CallerConnection::ScheduleLingerEnd() {
+  const Duration left = LingerEnd() - EventLoop::Now();
+  close_timer_ =
+      owner_->loop()->After(std::max(left, Duration::zero()), [this] {
+        if (EventLoop::Now() >= LingerEnd()) {
+          owner_->Close(this);
+        } else {
+          ScheduleLingerEnd();
+        }
+      });
+}
+
 void CallerConnection::HandleEvent(bufferevent*, short what, void* arg) {
   auto* it = static_cast<CallerConnection*>(arg);
-  const bool is_late_request = (what & BEV_EVENT_TIMEOUT) != 0 &&
-                               (what & BEV_EVENT_READING) != 0 &&
-                               it->is_reading_;
-  if (!is_late_request) {
-    it->owner_->Close(it);
+  if ((what & BEV_EVENT_TIMEOUT) == 0) {
+    it->OnDisconnected((what & BEV_EVENT_EOF) != 0);
+  } else if ((what & BEV_EVENT_WRITING) != 0) {
+    it->OnWriteTimeout();
+  } else if (it->is_reading_) {
+    it->Refuse(408);
+    // Reading goes on, so that a disconnected caller is noticed.
+    bufferevent_enable(it->bev_, EV_READ);
+  } else {
+    it->OnIdleTimeout();
+  }
+}
+
+void CallerConnection::OnWriteTimeout() {
+  if (EventLoop::Now() - delivery_progress_at_ >= kStallTimeout) {
+    owner_->Close(this);
     return;
   }
-  it->Refuse(408);
-  // Reading goes on, so that a disconnected caller is noticed.
-  bufferevent_enable(it->bev_, EV_READ);
+  // The caller reads more slowly than the kernel frees room for more bytes.
+  // Writing is disabled after a write timeout.
+  bufferevent_enable(bev_, EV_WRITE);
+}
+
+void CallerConnection::OnIdleTimeout() {
+  CheckDelivery();
+  if (!is_delivering()) {
+    Linger();
+    return;
+  }
+  // The timeout starts once the caller has the response.
+  bufferevent_enable(bev_, EV_READ);
+}
+
+void CallerConnection::OnDisconnected(bool is_end_of_file) {
+  if (!is_end_of_file || has_unanswered() || OutputBytes() == 0) {
+    owner_->Close(this);
+    return;
+  }
+  // The caller may have ended only its requests and still read the responses.
+  is_input_closed_ = true;
+  EndInput();
+  ReadMore();
 }
 
 void CallerConnection::CloseAfterResponses() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -45,12 +45,21 @@
     virtual void OnPaused() = 0;
   };
 
-  // After the last response, a connection waits this long for the caller to
-  // close it: closing with unread bytes would reset the connection and lose the
-  // response.
+  // After the last response, a connection waits at least this long for the
+  // caller to close it: closing with unread bytes would reset the connection
+  // and lose the response.
   static constexpr Duration kLingerTimeout = std::chrono::seconds(1);
   // Timeout without progress while a caller sends a body or reads a response.
+  // It includes the time in which the caller reads what its kernel has
+  // acknowledged.
   static constexpr Duration kStallTimeout = std::chrono::seconds(20);
+  // While a caller has bytes of a response to acknowledge, its progress is
+  // asked of the kernel at this interval.
+  static constexpr Duration kDeliveryCheckInterval =
+      std::chrono::milliseconds(100);
+  // Fewer sent bytes than these are not tracked while requests follow: they fit
+  // in the receive buffer of any caller.
+  static constexpr size_t kMaxUntrackedBytes = 16 << 10;
   // Maximum input that is buffered while no further request may be read.
   static constexpr size_t kMaxUnreadBytes = 64 << 10;
   // While reading is suspended, an end of file is not read. Whether the caller
@@ -82,8 +91,12 @@
   bool is_paused() const { return is_paused_; }
   // Counts received bytes that are still in the kernel.
   void CountUnreadBytes();
-  // When the last byte was received or sent.
+  // When the last byte was received, sent or known to be acknowledged.
   TimePoint progress_at() const { return progress_at_; }
+  // A response is unsent, or its caller is known to have to acknowledge it.
+  bool is_delivering() const {
+    return OutputBytes() > 0 || delivery_timer_ != nullptr;
+  }
 
  private:
   static void HandleRead(bufferevent*, void* arg);
@@ -110,7 +123,19 @@
   void ReclaimInput();
   void EndInput();
   void SendReady();
+  // Asks the kernel what the caller has yet to acknowledge, and goes on asking
+  // until it has acknowledged everything.
+  void CheckDelivery();
+  void StartDeliveryChecks();
+  // Half-closes the connection, and closes it once the caller has closed it or
+  // has had time to read what was sent. What arrives until then is discarded.
   void Linger();
+  TimePoint LingerEnd() const;
+  void ScheduleLingerEnd();
+  void OnIdleTimeout();
+  void OnWriteTimeout();
+  // The caller has ended its side or the connection is broken.
+  void OnDisconnected(bool is_end_of_file);
   void UpdateReadTimeout();
   void UpdateDisconnectCheck();
   void CheckDisconnected();
@@ -129,14 +154,25 @@
   std::optional<ReceivedMessage> held_;
   bool is_last_sent_ = false;
   bool is_lingering_ = false;
+  // The last response refuses bytes that are no complete request.
+  bool is_input_refused_ = false;
+  // The caller has closed its side; only responses remain to be sent.
+  bool is_input_closed_ = false;
   bool is_in_read_loop_ = false;
   // Memory is too scarce to read the rest of a large body.
   bool is_paused_ = false;
   size_t unread_bytes_ = 0;  // in the kernel, when last counted
   TimePoint progress_at_ = EventLoop::Now();
+  // Bytes passed to the kernel since all were known to be acknowledged.
+  size_t untracked_bytes_ = 0;
+  size_t unacknowledged_bytes_ = 0;  // when last asked
+  // When bytes were last sent or known to be acknowledged.
+  TimePoint delivery_progress_at_{};
+  TimePoint lingering_since_{};
   TimePoint message_started_at_{};
   Duration read_timeout_{-1};
   std::unique_ptr<Timer> close_timer_;
+  std::unique_ptr<Timer> delivery_timer_;
   std::unique_ptr<Timer> disconnect_timer_;
 };
 
--- a/src/gateway/front_server.cc
+++ b/src/gateway/front_server.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 #include <vector>
 
 #include "net/net_error.h"
@@ -125,15 +126,20 @@
 }
 
 bool FrontServer::CloseLongestIdle(Duration min_idle) {
+  const TimePoint now = EventLoop::Now();
   CallerConnection* longest = nullptr;
+  std::pair<bool, Duration> longest_rank;
   for (const auto& [it, owned] : connections_) {
-    if (longest != nullptr && it->progress_at() >= longest->progress_at())
-      continue;
-    if (!it->has_unanswered()) longest = it;
+    if (it->has_unanswered()) continue;
+    const Duration idle = now - it->progress_at();
+    // A caller that reads a response is not idle unless it has stopped reading.
+    if (idle < (it->is_delivering() ? kMinIdle : min_idle)) continue;
+    const std::pair<bool, Duration> rank{!it->is_delivering(), idle};
+    if (longest != nullptr && rank <= longest_rank) continue;
+    longest = it;
+    longest_rank = rank;
   }
-  if (longest == nullptr ||
-      EventLoop::Now() - longest->progress_at() < min_idle)
-    return false;
+  if (longest == nullptr) return false;
   Close(longest);
   return true;
 }
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -114,9 +114,10 @@
   void Reclaim();
   void OnExceeded() { ReclaimSoon(Duration::zero()); }
   void OnReclaim(BufferUse use, size_t bytes);
-  // Closes the connection without an unanswered request that was idle or
-  // stalled for longest, and at least for `min_idle`. Returns false if there is
-  // none.
+  // Closes the connection without an unanswered request that was idle for
+  // longest, and at least for `min_idle`; if there is none, the one whose
+  // caller has stopped reading a response for longest. Returns false if there
+  // is neither.
   bool CloseLongestIdle(Duration min_idle);
   // Logs the first time in a series that a bound was reached.
   void LogBound(const char* event, TimePoint* last, const char* use,
