Require keys when the list of workspaces is empty

Cause: a catalog without workspaces was taken for one that asks for no keys, and the decoder did not tell an empty list from a missing one. Other members that restrict access were read in the same way: allowed regions that are null meant all regions, a negative rate meant none, limits of another type than an object or a number meant no limits.

Change: the catalog takes an optional list, and only without one do requests need no key. Where the settings name the contract under which all workspaces have keys, a configuration without the list has no valid key. Members that restrict access are read strictly; one of a wrong type makes the document unusable with its JSON pointer, and the present one stays.

--- a/src/gateway/forwarder_admission.cc
+++ b/src/gateway/forwarder_admission.cc
@@ -125,7 +125,7 @@
 }
 
 bool Forwarder::CheckKey(Exchange* it, TimePoint) {
-  if (it->catalog->workspaces().empty()) return true;
+  if (!it->catalog->requires_keys()) return true;
   const std::string& key_header =
       it->request.headers.Get(deps_.header_names->key);
   const std::string& scheme = deps_.header_names->key_scheme;
--- a/src/traffic/catalog.cc
+++ b/src/traffic/catalog.cc
@@ -20,11 +20,13 @@
 }  // namespace
 
 Catalog::Catalog(uint64_t version, std::vector<TrafficRoute> routes,
-                 std::vector<TrafficWorkspace> workspaces,
+                 std::optional<std::vector<TrafficWorkspace>> workspaces,
                  std::vector<TrafficService> services, CallerLimits limits)
     : version_(version),
       routes_(std::move(routes)),
-      workspaces_(std::move(workspaces)),
+      requires_keys_(workspaces.has_value()),
+      workspaces_(workspaces ? std::move(*workspaces)
+                             : std::vector<TrafficWorkspace>()),
       services_(std::move(services)),
       limits_(limits) {
   for (const TrafficRoute& it : routes_)
--- a/src/traffic/catalog.h
+++ b/src/traffic/catalog.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -72,8 +73,10 @@
 // An immutable version of the configuration of the data path.
 class Catalog {
  public:
+  // Without a list of workspaces, requests need no key. With an empty one, no
+  // key is valid.
   Catalog(uint64_t version, std::vector<TrafficRoute> routes,
-          std::vector<TrafficWorkspace> workspaces,
+          std::optional<std::vector<TrafficWorkspace>> workspaces,
           std::vector<TrafficService> services, CallerLimits limits);
   Catalog(const Catalog&) = delete;
   Catalog& operator=(const Catalog&) = delete;
@@ -84,6 +87,8 @@
   const std::vector<TrafficWorkspace>& workspaces() const {
     return workspaces_;
   }
+  // Whether requests on routes that are not open need the key of a workspace.
+  bool requires_keys() const { return requires_keys_; }
 
   // Returns the route of `host` whose prefix is the longest match for `path`,
   // or null.
@@ -97,6 +102,7 @@
  private:
   uint64_t version_;
   std::vector<TrafficRoute> routes_;
+  bool requires_keys_;
   std::vector<TrafficWorkspace> workspaces_;
   std::vector<TrafficService> services_;
   CallerLimits limits_;
--- a/tests/gateway/data_path_test.cc
+++ b/tests/gateway/data_path_test.cc
@@ -47,6 +47,27 @@
   CHECK(instance.requests == 0);
 }
 
+// Guards against a configuration whose list of workspaces is empty and that is
+// taken for one that asks for no keys.
+TEST_CASE_FIXTURE(DataPathFixture,
+                  "Request, last workspace removed, is refused") {
+  ScriptedInstance instance(
+      &loop, [](const std::string& it) { return FullResponse(it); });
+  AddInstance("i1", instance.port);
+  std::vector<TrafficRoute> routes = forwarder->catalog()->routes();
+  routes.back().open = true;
+  forwarder->SetCatalog(std::make_shared<const Catalog>(
+      2, routes, std::vector<TrafficWorkspace>{}, std::vector<TrafficService>{},
+      CallerLimits{}));
+  CHECK(SendRequest(RequestText("/safe/x", "id1")).status == 401);
+  CHECK(instance.requests == 0);
+  CHECK(SendRequest(RequestText("/once/x", "id2")).status == 200);
+  forwarder->SetCatalog(std::make_shared<const Catalog>(
+      3, routes, std::nullopt, std::vector<TrafficService>{}, CallerLimits{}));
+  CHECK(SendRequest(RequestText("/safe/x", "id3")).status == 200);
+  CHECK(instance.requests == 2);
+}
+
 // Guards against accepting withdrawn keys: without a recent confirmation, no
 // request with a key may run.
 TEST_CASE("Request, keys not confirmed, is refused as not run") {
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -71,6 +71,101 @@
   }
 }
 
+// Guards against a configuration that opens routes or lifts limits because a
+// member that restricts them is missing, empty, null or of a wrong type.
+TEST_CASE_FIXTURE(DecoderFixture,
+                  "Configuration, each member in doubt, grants nothing more") {
+  enum class Effect : uint8_t {
+    kUnusable,      // the present configuration stays
+    kNoValidKey,    // 401 on routes that are not open
+    kNoRoute,       // 404
+    kUnrestricted,  // the documented meaning of a member that is left out
+  };
+  using enum Effect;
+  struct Row {
+    const char* pointer;
+    Effect missing;
+    Effect empty;  // an empty value of the right type, or zero
+    Json empty_value;
+  };
+  const Json list = Json::array();
+  const Json object = Json::object();
+  const std::vector<Row> rows = {
+      {"/tenants", kUnrestricted, kNoValidKey, list},
+      {"/tenants/0/name", kUnusable, kUnusable, ""},
+      {"/tenants/0/api_keys", kNoValidKey, kNoValidKey, list},
+      {"/tenants/0/rate_per_s", kUnrestricted, kUnrestricted, 0},
+      {"/tenants/0/burst", kUnrestricted, kUnrestricted, 0},
+      {"/tenants/0/allowed_regions", kUnrestricted, kUnrestricted, list},
+      {"/listeners", kUnusable, kNoRoute, list},
+      {"/listeners/0/host", kUnusable, kUnusable, ""},
+      {"/listeners/0/rules", kUnusable, kNoRoute, list},
+      {"/listeners/0/rules/0/public", kUnrestricted, kUnrestricted, false},
+      {"/listeners/0/rules/0/match", kUnusable, kUnusable, object},
+      {"/listeners/0/rules/0/match/prefix", kUnusable, kNoRoute, ""},
+      {"/listeners/0/rules/0/action", kUnusable, kUnusable, object},
+      {"/listeners/0/rules/0/action/allowed_regions", kUnrestricted,
+       kUnrestricted, list},
+      {"/clusters", kUnusable, kUnrestricted, list},
+      {"/limits", kUnrestricted, kUnrestricted, object},
+      {"/limits/max_header_bytes", kUnrestricted, kUnrestricted, 0},
+      {"/limits/max_body_bytes", kUnrestricted, kUnrestricted, 0},
+      {"/limits/header_timeout_s", kUnrestricted, kUnrestricted, 0},
+      {"/limits/idle_timeout_s", kUnrestricted, kUnrestricted, 0},
+  };
+  const Json valid = Json::parse(kConfig);
+  const auto check = [&](const Json& document, Effect expected) {
+    CAPTURE(document.dump());
+    const StoreChange change = Decode("op/config", document.dump());
+    const auto* decoded = std::get_if<std::shared_ptr<const Catalog>>(&change);
+    REQUIRE((decoded == nullptr) == (expected == kUnusable));
+    if (decoded == nullptr) return;
+    const Catalog& catalog = **decoded;
+    CHECK((catalog.FindRoute("h.example", "/a/x") == nullptr) ==
+          (expected == kNoRoute));
+    CHECK((catalog.FindByKey(Sha256("k1")) == nullptr) ==
+          (expected == kNoValidKey || !document.contains("tenants")));
+    CHECK(catalog.requires_keys() == document.contains("tenants"));
+  };
+  check(valid, kUnrestricted);
+  for (const Row& row : rows) {
+    CAPTURE(row.pointer);
+    const Json::json_pointer pointer(row.pointer);
+    Json missing = valid;
+    missing[pointer.parent_pointer()].erase(pointer.back());
+    check(missing, row.missing);
+    Json changed = valid;
+    changed[pointer] = row.empty_value;
+    check(changed, row.empty);
+    for (const Json& wrong : {Json(nullptr), Json("x"), Json(-1), Json(true),
+                              Json::array({1}), Json{{"x", 1}}}) {
+      // An array with an element of a wrong type and a negative number are
+      // wrong too.
+      const Json& right = valid[pointer];
+      const bool is_right = wrong.type() == right.type() && !wrong.is_array() &&
+                            !wrong.is_number();
+      if (is_right) continue;
+      changed[pointer] = wrong;
+      check(changed, kUnusable);
+    }
+  }
+}
+
+// Guards against the loss of the only list of workspaces where the deployment
+// says that requests need keys.
+TEST_CASE_FIXTURE(DecoderFixture,
+                  "Configuration, without workspaces where keys are required, "
+                  "has no valid key") {
+  Json document = Json::parse(kConfig);
+  document.erase("tenants");
+  const auto open = DecodeCatalog(document.dump(), false);
+  REQUIRE(open.has_value());
+  CHECK_FALSE((*open)->requires_keys());
+  const auto closed = DecodeCatalog(document.dump(), true);
+  REQUIRE(closed.has_value());
+  CHECK((*closed)->requires_keys());
+}
+
 TEST_CASE_FIXTURE(DecoderFixture, "Instance entry, valid, is decoded") {
   const StoreChange change = Decode("servers/i-1", kInstanceEntry);
   const auto* entry = std::get_if<InstanceEntry>(&change);
@@ -198,7 +293,7 @@
 
 constexpr const char* kSettings = R"({"vm":"v1","zone":"a","region":"r",
  "listen":{"callers":"10.0.0.1:80","readiness":"10.0.0.1:81","lookups":"10.0.0.1:82"},
- "link_mbps":200,"cpu_share":0.5,"memory_mb":160,"max_descriptors":4100,"first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},
+ "link_mbps":200,"cpu_share":0.5,"memory_mb":160,"max_descriptors":4100,"first_internal_port":7560,"store":"10.9.9.9:8382","region_of_zone":{"a":"r"},"contracts":["base","tenants"],
  "bounds":{"key_withdrawal_s":5,"stop_s":6,"retry_window_s":10,"retry_ratio":0.2,"retry_extra":64,"limit_tolerance_ratio":0.1,"limit_tolerance_requests":20,"limit_window_s":5,"max_shift":0.15,"lookup_ttl_s":5}})";
 
 TEST_CASE("Settings, valid, are parsed") {
@@ -213,6 +308,7 @@
   CHECK(settings->endpoints.metrics_port == 7561);
   CHECK(settings->store.port == 8382);
   CHECK(settings->gateway.max_key_withdrawal_delay == std::chrono::seconds(5));
+  CHECK(settings->requires_keys);
 }
 
 // Guards against a process that starts with settings it could not interpret.
@@ -225,7 +321,7 @@
     missing.erase(name);
     const bool is_optional = name == "region_of_zone" || name == "link_mbps" ||
                              name == "cpu_share" || name == "memory_mb" ||
-                             name == "max_descriptors";
+                             name == "max_descriptors" || name == "contracts";
     CHECK(ParseSettings(missing.dump(), "file", 0).has_value() == is_optional);
     Json wrong = valid;
     wrong[name] = Json::array({1});
