--- a/tests/gateway/store_relay_test.cc
+++ b/tests/gateway/store_relay_test.cc
@@ -14,6 +14,7 @@
 #include "gateway/change_relay.h"
 #include "gateway/memory_store.h"
 #include "gateway/relayed_store.h"
+#include "gateway/shared_store.h"
 #include "gateway/store_watch.h"
 
 namespace rwf {
@@ -104,114 +105,6 @@
   CHECK(replies.back().is_history_gone);
 }
 
-// A store with a history that several VMs read through connections of their
-// own.
-class SharedStore {
- public:
-  struct Change {
-    StoreItem item;
-    TimePoint at{};
-  };
-
-  void Put(const std::string& key) {
-    Add({key, std::to_string(revision + 1), revision + 1, false});
-  }
-  void Delete(const std::string& key) {
-    if (items.contains(key)) Add({key, "", revision + 1, true});
-  }
-  void DiscardHistory() { oldest_revision = revision; }
-
-  std::map<std::string, StoreItem> items;
-  std::vector<Change> history;
-  uint64_t revision = 1;
-  // Watches from an earlier revision fail.
-  uint64_t oldest_revision = 1;
-
- private:
-  void Add(const StoreItem& item) {
-    revision = item.revision;
-    if (item.is_deleted) {
-      items.erase(item.key);
-    } else {
-      items[item.key] = item;
-    }
-    history.push_back({item, EventLoop::Now()});
-  }
-};
-
-// The calls of one VM. They take a random time, and fail while it is cut off.
-class StoreConnection : public RevisionStore {
- public:
-  static constexpr size_t kPageItems = 4;
-  static constexpr Duration kPollInterval = 5 * kMillisecond;
-
-  StoreConnection(EventLoop* loop, const SharedStore* store, uint64_t seed)
-      : loop_(loop), store_(store), rng_(seed) {}
-
-  void Range(const std::string&, const std::string& after, Duration,
-             Callback<ItemPage> done) override {
-    Delay([this, after, done = std::move(done)] {
-      ItemPage page;
-      page.revision = store_->revision;
-      auto it = store_->items.upper_bound(after);
-      for (; it != store_->items.end() && page.items.size() < kPageItems; ++it)
-        page.items.push_back(it->second);
-      page.has_more = it != store_->items.end();
-      Delay([this, page = std::move(page), done] {
-        if (is_cut) {
-          done(Fail(StoreErrc::kUnavailable, "cut off"));
-        } else {
-          done(page);
-        }
-      });
-    });
-  }
-  void Watch(const std::string&, uint64_t revision, Duration wait,
-             Callback<ChangeSet> done) override {
-    Poll(revision, EventLoop::Now() + wait, std::move(done));
-  }
-  void Write(const ItemWrite&, Callback<uint64_t>) override {}
-  void Grant(Duration, Callback<GrantedLease>) override {}
-  void KeepAlive(uint64_t, Callback<bool>) override {}
-  void Release(uint64_t, Callback<bool>) override {}
-
-  bool is_cut = false;
-
- private:
-  void Delay(std::function<void()> action) {
-    timers_.push_back(loop_->After(
-        static_cast<int64_t>(rng_() % 15) * kMillisecond, std::move(action)));
-  }
-  void Poll(uint64_t revision, TimePoint end, Callback<ChangeSet> done) {
-    if (is_cut) {
-      Delay([done] { done(Fail(StoreErrc::kUnavailable, "cut off")); });
-      return;
-    }
-    if (revision < store_->oldest_revision) {
-      Delay([done] { done(Fail(StoreErrc::kHistoryGone, "discarded")); });
-      return;
-    }
-    ChangeSet changes;
-    changes.revision = store_->revision;
-    for (const SharedStore::Change& it : store_->history) {
-      if (it.item.revision > revision) changes.events.push_back(it.item);
-    }
-    if (!changes.events.empty() || EventLoop::Now() >= end) {
-      Delay([done, changes = std::move(changes)] { done(changes); });
-      return;
-    }
-    timers_.push_back(loop_->After(
-        kPollInterval, [this, revision, end, done = std::move(done)] {
-          Poll(revision, end, done);
-        }));
-  }
-
-  EventLoop* loop_;
-  const SharedStore* store_;
-  std::mt19937_64 rng_;
-  std::vector<std::unique_ptr<Timer>> timers_;
-};
-
 // Three VMs that relay changes of one store, and random faults: restarts,
 // connections to the store that are cut, history that is discarded, VMs that
 // ask the store themselves for a time.
@@ -357,7 +250,7 @@
   uint64_t seed_;
   EventLoop* loop_;
   std::mt19937_64 rng_;
-  SharedStore store_;
+  SharedStore store_{loop_};
   uint64_t incarnations_ = 0;
   std::array<std::unique_ptr<Vm>, kVms> vms_;
   std::vector<std::unique_ptr<Timer>> timers_;
