--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 void ChangeRelay::Follow(StoreWatch* watch,
-                         std::function<TimePoint()> boot_now) {
+                         const std::function<TimePoint()>& boot_now) {
   watch->signal_change.connect(
       [this, boot_now](const StoreItem& it) { OnChange(it, boot_now()); });
   watch->signal_loaded.connect([this, watch] { OnLoaded(watch->revision()); });
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -29,7 +29,7 @@
   // Passes on what `watch` receives. Both must outlive the connection.
   // `boot_now` returns the time of a clock that keeps running while the VM is
   // suspended.
-  void Follow(StoreWatch* watch, std::function<TimePoint()> boot_now);
+  void Follow(StoreWatch* watch, const std::function<TimePoint()>& boot_now);
 
   // All keys were loaded at this revision. A load does not tell which keys were
   // removed before it, so requests for changes after an earlier revision cannot
--- a/tests/fleet_faults/fleet_faults_test.cc
+++ b/tests/fleet_faults/fleet_faults_test.cc
@@ -62,8 +62,9 @@
 // Gateway.
 class LimitedVm {
  public:
-  LimitedVm(EventLoop* loop, SharedStore* store, EventLog* log, FleetVm info,
-            uint64_t seed, std::function<void(FleetVm*)> route,
+  LimitedVm(EventLoop* loop, SharedStore* store, EventLog* log,
+            const FleetVm& info, uint64_t seed,
+            const std::function<void(FleetVm*)>& route,
             std::function<void(const std::string&)> on_admitted)
       : connection(loop, store, seed),
         limiter(info.vm, EventLoop::Now()),
@@ -161,9 +162,9 @@
   }
   void Offer() {
     if (!IsFresh()) return;
-    static const std::vector<TrafficWorkspace> workspaces = Workspaces();
+    static const std::vector<TrafficWorkspace> kWorkspaces = Workspaces();
     const TimePoint now = EventLoop::Now();
-    for (const TrafficWorkspace& it : workspaces) {
+    for (const TrafficWorkspace& it : kWorkspaces) {
       if (rng_() % 100 >= kOffered) continue;
       const uint64_t ticket = ++last_ticket_;
       const auto admission = limiter.Admit(it.name, ticket, now).admission;
@@ -312,7 +313,7 @@
         peer->address = PathAddress(reader, to);
     }
   }
-  void Between(double at, double length, std::function<void(bool)> set) {
+  void Between(double at, double length, const std::function<void(bool)>& set) {
     After(at, [set] { set(true); });
     After(at + length, [set] { set(false); });
   }
@@ -367,10 +368,10 @@
   void RunAndCheck() {
     const auto timer = loop.After(Seconds(kEnd), [this] { loop.Stop(); });
     loop.Run();
-    for (const auto& [name, fleet] : fleets) {
-      CAPTURE(name);
-      CHECK(fleet->excess == "");
-      CHECK(fleet->Disagreement() == "");
+    for (const auto& it : fleets) {
+      CAPTURE(it.first);
+      CHECK(it.second->excess == "");
+      CHECK(it.second->Disagreement() == "");
     }
   }
 
