--- a/tests/fleet_faults/fleet_faults_test.cc
+++ b/tests/fleet_faults/fleet_faults_test.cc
@@ -68,7 +68,7 @@
             std::function<void(const std::string&)> on_admitted)
       : connection(loop, store, seed),
         limiter(info.vm, EventLoop::Now()),
-        fleet(loop, info, &limiter, &notices_, log),
+        fleet(loop, info, &limiter, &notices, log),
         loop_(loop),
         rng_(seed),
         on_admitted_(std::move(on_admitted)),
@@ -124,11 +124,7 @@
 
   StoreConnection connection;
   WorkspaceLimiter limiter;
-
- private:
-  InstanceNotices notices_;
-
- public:
+  InstanceNotices notices;
   Fleet fleet;
 
  private:
