Make only VMs load again that may have missed a removal

Change: a load leaves a gap between the revision known before and its own. Only a VM whose revision lies in a gap has to load; one that knew no more than the relay gets all changes. A VM that read an item newer than the revision from which it watches asks the store until the watch has passed it, since the relay may know nothing of that item.

--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -29,7 +29,11 @@
 }
 
 void ChangeRelay::OnLoaded(uint64_t revision) {
-  oldest_revision_ = std::max(oldest_revision_, revision);
+  if (revision <= revision_) return;
+  gaps_.push_back({revision_, revision});
+  if (gaps_.size() <= kMaxGaps) return;
+  gaps_[1].after = gaps_[0].after;
+  gaps_.erase(gaps_.begin());
 }
 
 void ChangeRelay::OnChange(const StoreItem& change, TimePoint now) {
@@ -105,6 +109,13 @@
   }
 }
 
+bool ChangeRelay::IsHistoryGone(const PendingRequest& it) const {
+  return it.revision < oldest_revision_ ||
+         std::any_of(gaps_.begin(), gaps_.end(), [&](const Gap& gap) {
+           return it.revision > gap.after && it.revision < gap.before;
+         });
+}
+
 bool ChangeRelay::HasChanges(const PendingRequest& it) const {
   return changes_.upper_bound(it.revision) != changes_.end();
 }
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -25,15 +25,18 @@
   // How long changes are kept: several times the interval between two requests
   // of a VM that is up to date.
   static constexpr Duration kRetention = std::chrono::seconds(15);
+  // Above this number, the two oldest gaps are merged.
+  static constexpr size_t kMaxGaps = 16;
 
   // Passes on what `watch` receives. Both must outlive the connection.
   // `boot_now` returns the time of a clock that keeps running while the VM is
   // suspended.
   void Follow(StoreWatch* watch, const std::function<TimePoint()>& boot_now);
 
-  // All keys were loaded at this revision. A load does not tell which keys were
-  // removed before it, so requests for changes after an earlier revision cannot
-  // be answered. Must be called before OnConfirmed for the same load.
+  // All keys were loaded at this revision. A load does not tell of keys that
+  // were added and removed since the last known revision, so requests for
+  // changes after a revision in between cannot be answered. Must be called
+  // before OnConfirmed for the same load.
   void OnLoaded(uint64_t revision);
   // Must be called in the order in which the changes arrive.
   void OnChange(const StoreItem& change, TimePoint now);
@@ -65,16 +68,21 @@
     TimePoint requested_at{};
     TimePoint expires_at{};
   };
+  // Revisions between `after` and `before`, both excluded, in which changes are
+  // not known individually.
+  struct Gap {
+    uint64_t after = 0;
+    uint64_t before = 0;
+  };
   bool HasChanges(const PendingRequest& it) const;
-  bool IsHistoryGone(const PendingRequest& it) const {
-    return it.revision < oldest_revision_;
-  }
+  bool IsHistoryGone(const PendingRequest& it) const;
   void Reply(const PendingRequest& it, TimePoint now);
 
   // Latest change of each key, by revision.
   std::map<uint64_t, std::vector<Change>> changes_;
   std::map<std::string, uint64_t> revision_of_;
   std::vector<PendingRequest> pending_;
+  std::vector<Gap> gaps_;  // by revision
   uint64_t revision_ = 0;
   // Requests for changes after an earlier revision cannot be answered.
   uint64_t oldest_revision_ = 0;
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -19,6 +19,10 @@
     WatchStore(prefix, revision, own_wait, now, std::move(done));
     return;
   }
+  if (revision < latest_read_revision_) {
+    WatchStore(prefix, revision, kFallbackWait, now, std::move(done));
+    return;
+  }
   wire::ChangesRequestT request;
   request.id = next_id_++;
   request.revision = revision;
@@ -112,7 +116,16 @@
 
 void RelayedStore::Range(const std::string& prefix, const std::string& after,
                          Duration timeout, Callback<ItemPage> done) {
-  store_->Range(prefix, after, timeout, RecordingFailures(std::move(done)));
+  store_->Range(prefix, after, timeout,
+                RecordingFailures<ItemPage>(
+                    [this, done = std::move(done)](Result<ItemPage> page) {
+                      if (page) {
+                        for (const StoreItem& it : page->items)
+                          latest_read_revision_ =
+                              std::max(latest_read_revision_, it.revision);
+                      }
+                      done(std::move(page));
+                    }));
 }
 
 void RelayedStore::Write(const ItemWrite& write, Callback<uint64_t> done) {
--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -95,6 +95,10 @@
   uint64_t next_id_ = 1;
   bool has_failed_ = false;
   TimePoint failed_at_{};  // boot time
+  // Latest revision of an item read from the store. The pages of a load are not
+  // a snapshot, so an item may be newer than the revision from which is
+  // watched, and a relay VM may know nothing of its removal.
+  uint64_t latest_read_revision_ = 0;
   std::unique_ptr<Pending> pending_;
   std::unique_ptr<Timer> timer_;
 };
