--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -87,12 +87,7 @@
   watch_.signal_loaded.connect([this] { OnLoaded(); });
   watch_.signal_confirmed.connect(
       [this](TimePoint t) { freshness_.OnConfirmed(t); });
-  watch_.signal_connection.connect(
-      [this](bool connected, const std::string& reason) {
-        log_->State(connected ? "store_connected" : "store_lost")
-            .Text("reason", reason)
-            .Number("revision", static_cast<int64_t>(watch_.revision()));
-      });
+  ConnectWatchLog();
   ConnectRelay();
   ConnectCrashWatch();
   ConnectNotices();
@@ -104,6 +99,17 @@
                     "Requests for store changes sent to the store because the "
                     "relay VM gave no usable reply",
                     [this] { return double(store_.counters().fallbacks); });
+  metrics_.AddGauge("rwf_store_revision",
+                    "Revision up to which the store is known",
+                    [this] { return double(watch_.revision()); });
+  metrics_.AddGauge("rwf_store_loads_total", "Completed loads of all entries",
+                    [this] { return double(watch_.loads()); });
+  metrics_.AddGauge("rwf_config_version",
+                    "Version of the configuration in force; 0 if none", [this] {
+                      const auto& catalog = forwarder_->catalog();
+                      return catalog == nullptr ? 0
+                                                : double(catalog->version());
+                    });
   pool_.AddMetrics(&metrics_);
   metrics_.AddGauge("rwf_open_requests", "Requests in progress",
                     [this] { return double(forwarder_->active_requests()); });
@@ -140,6 +146,28 @@
   return out;
 }
 
+EventLog::Line Gateway::StoreLine(std::string_view event,
+                                  uint64_t revision) const {
+  EventLog::Line line = log_->State(event);
+  line.Number("revision", static_cast<int64_t>(revision));
+  return line;
+}
+
+void Gateway::ConnectWatchLog() {
+  watch_.signal_connection.connect([this](bool connected,
+                                          const std::string& reason) {
+    StoreLine(connected ? "store_connected" : "store_lost", watch_.revision())
+        .Text("reason", reason);
+  });
+  watch_.signal_reload.connect([this](const std::string& reason) {
+    StoreLine("store_reload", watch_.revision()).Text("reason", reason);
+  });
+  watch_.signal_loaded.connect([this] {
+    StoreLine("store_loaded", watch_.revision())
+        .Number("keys", static_cast<int64_t>(watch_.key_count()));
+  });
+}
+
 void Gateway::ConnectCrashWatch() {
   crashes_.signal_settled.connect([this](const SettledBrokenRun& it) {
     const char* verdict = BrokenRunVerdictName(it.verdict);
@@ -245,7 +273,7 @@
   const StoreChange change = decoder_->Decode(item);
   if (const auto* catalog =
           std::get_if<std::shared_ptr<const Catalog>>(&change)) {
-    Apply(*catalog);
+    Apply(*catalog, item.revision);
   } else if (const auto* entry = std::get_if<InstanceEntry>(&change)) {
     const WallTime latest =
         EventLoop::WallNow() +
@@ -326,10 +354,17 @@
   }
 }
 
-void Gateway::Apply(std::shared_ptr<const Catalog> catalog) {
+void Gateway::Apply(std::shared_ptr<const Catalog> catalog, uint64_t revision) {
   const auto& present = forwarder_->catalog();
-  if (present != nullptr && catalog->version() <= present->version()) return;
-  log_->State("config_applied")
+  if (present != nullptr && catalog->version() <= present->version()) {
+    if (catalog->version() < present->version()) {
+      StoreLine("config_outdated", revision)
+          .Number("version", static_cast<int64_t>(catalog->version()))
+          .Number("present", static_cast<int64_t>(present->version()));
+    }
+    return;
+  }
+  StoreLine("config_applied", revision)
       .Number("version", static_cast<int64_t>(catalog->version()))
       .Number("previous",
               present == nullptr ? 0 : static_cast<int64_t>(present->version()))
@@ -444,7 +479,7 @@
   }
   if (std::string relay = fleet_.RelayVm(); relay != relay_vm_) {
     relay_vm_ = std::move(relay);
-    log_->State("store_watched_by")
+    StoreLine("store_watched_by", watch_.revision())
         .Text("peer", relay_vm_.empty() ? settings_.self.vm : relay_vm_)
         .Flag("own_store_reliable", store_.IsStoreReliable(BootTimeNow()));
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "entry/metrics.h"
@@ -98,12 +99,16 @@
   void OnFleetSecret(const std::string& secret);
   void ScheduleSecretWrite();
   void WriteSecret();
-  void Apply(std::shared_ptr<const Catalog> catalog);
+  // `revision` is that of the entry in the store.
+  void Apply(std::shared_ptr<const Catalog> catalog, uint64_t revision);
   void Apply(const InstanceEntry& entry);
   void OnUnusable(const std::string& key, const UnusableEntry& entry);
   void RemoveInstance(const std::string& id, const char* reason);
   void EndEvacuation(const std::string& zone);
   void SetRetryBounds();
+  // Starts a line on what is known of the store.
+  EventLog::Line StoreLine(std::string_view event, uint64_t revision) const;
+  void ConnectWatchLog();
   // Connects the components that relay store changes between VMs.
   void ConnectRelay();
   RelayedStore::Callbacks RelayCallbacks();
--- a/src/gateway/instance_gauges.cc
+++ b/src/gateway/instance_gauges.cc
@@ -1,5 +1,7 @@
 #include "gateway/instance_gauges.h"
 
+#include <algorithm>
+
 #include "net/event_loop.h"
 
 namespace rwf {
@@ -8,6 +10,14 @@
                        const InstanceNotices* notices) {
   metrics->AddGauge("rwf_instances", "Known upstream instances",
                     [registry] { return double(registry->size()); });
+  metrics->AddGauge(
+      "rwf_instances_draining",
+      "Upstream instances whose entries say that they are draining",
+      [registry] {
+        return double(std::count_if(
+            registry->all().begin(), registry->all().end(),
+            [](const auto& it) { return it.second->info().is_draining; }));
+      });
   metrics->AddGauge("rwf_instances_limited",
                     "Upstream instances that name a limit of requests",
                     [notices] { return double(notices->limited()); });
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -1,5 +1,7 @@
 #include "gateway/store_watch.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <vector>
 
@@ -43,6 +45,12 @@
   FinishLoad();
 }
 
+void StoreWatch::Reload(const std::string& reason) {
+  needs_load_ = true;
+  signal_reload.emit(reason);
+  Start();
+}
+
 void StoreWatch::FinishLoad() {
   std::vector<std::string> removed;
   for (const auto& [key, revision] : known_revisions_) {
@@ -59,6 +67,7 @@
   revision_ = load_revision_;
   needs_load_ = false;
   is_loaded_ = true;
+  ++loads_;
   signal_loaded.emit();
   signal_confirmed.emit(load_requested_at_);
   Watch();
@@ -75,8 +84,7 @@
   if (!changes) {
     if (changes.error().code == StoreErrc::kHistoryGone) {
       RecordSuccess();
-      needs_load_ = true;
-      Start();
+      Reload(changes.error().message);
       return;
     }
     HandleFailure(changes.error());
@@ -87,8 +95,8 @@
   // The watch covers all keys, so a higher revision without events means that
   // changes were missed.
   if (changes->events.empty() && changes->revision > revision_) {
-    needs_load_ = true;
-    Start();
+    Reload(fmt::format("revision {} of the store without changes since {}",
+                       changes->revision, revision_));
     return;
   }
   revision_ = std::max(revision_, changes->revision);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -58,6 +58,8 @@
   bool had_outage() const { return outage_end_ != TimePoint{}; }
   bool is_failing() const { return failures_ > 0; }
   uint64_t revision() const { return revision_; }
+  size_t key_count() const { return known_revisions_.size(); }
+  uint64_t loads() const { return loads_; }
 
   // A key was written or is seen for the first time.
   sigc::signal<void(const StoreItem&)> signal_item;
@@ -67,6 +69,8 @@
   // All keys have been loaded, for the first time or again. Emitted before
   // signal_confirmed for the same load.
   sigc::signal<void()> signal_loaded;
+  // A load begins because changes were missed, with the reason.
+  sigc::signal<void(const std::string& reason)> signal_reload;
   // All changes made before this time are known.
   sigc::signal<void(TimePoint boot_time)> signal_confirmed;
   sigc::signal<void(bool connected, const std::string& reason)>
@@ -74,6 +78,7 @@
 
  private:
   void Load(const std::string& after);
+  void Reload(const std::string& reason);
   void OnPage(Result<ItemPage> page);
   void FinishLoad();
   void Watch();
@@ -103,6 +108,7 @@
   TimePoint outage_begin_{};
   Duration backoff_ = kInitialBackoff;
   int failures_ = 0;  // since the last success
+  uint64_t loads_ = 0;
   std::unique_ptr<Timer> retry_timer_;
 };
 
