Show that VMs keep an old configuration after the store returns older

Suspected: the store returns from a copy some seconds old, and its revisions are given out again.

Change: the store double of the soak states its era, keeps copies of itself, can be away for a moment and return from one, and operators and instances then write again what was lost. "--only-restores" draws such returns among changes of configuration, entries and drains. The other runs of the soak draw the same faults as before. A watch from a revision that the store does not have gets 410.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -44,6 +44,13 @@
         """Returns whether there was no fault from SETTLE_S before `since` on."""
         return self.faulty_until[name] + SETTLE_S < since
 
+    def on_writes_repeated(self, since):
+        """What operators and instances have written since then has been acknowledged again."""
+        for times in (self.versions, self.revoked, self.draining_since):
+            for name, at in times.items():
+                if at >= since:
+                    times[name] = self.clock()
+
     def on_sent(self, request_id, sent):
         self.sent[request_id] = sent
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -31,6 +31,21 @@
     world.store.compact_history()
 
 
+async def store_restored(world):
+    """The store is away for a moment and returns from an older copy. Operators and instances write again what is lost."""
+    away = world.random.uniform(0.02, 1.5)
+    repeats_after = world.random.uniform(0, 0.5)
+    world.checks.mark_faulty("store", away + repeats_after)
+    world.store.fault[None] = "reset"
+    world.store.close_connections()
+    await asyncio.sleep(away)
+    since = world.store.restore_copy(world.random.uniform(0.5, 6))
+    world.store.fault.pop(None, None)
+    await asyncio.sleep(repeats_after)
+    world.store.repeat_writes(since)
+    world.checks.on_writes_repeated(since - world.started_at)
+
+
 async def store_loses_leases(world):
     """Leases expire while the store is unavailable; instances register again when it is back."""
     world.checks.mark_faulty("store", 2)
@@ -155,6 +170,23 @@
     it.register()
 
 
+async def instances_report(world):
+    """Instances write their entries several times each."""
+    for _ in range(world.random.randint(1, 4)):
+        for it in world.instances:
+            if it.server.is_serving():
+                it.register()
+        await asyncio.sleep(world.random.uniform(0, 0.3))
+
+
+async def store_restored_after_writes(world):
+    """The copy lacks many writes, and those that follow get their revisions."""
+    await instances_report(world)
+    world.publish_config()
+    await asyncio.sleep(world.random.uniform(0.3, 1))
+    await store_restored(world)
+
+
 async def config_change(world):
     world.publish_config()
 
@@ -172,3 +204,5 @@
 FAULTS = (store_away, store_turns_away, store_forgets, store_loses_leases, vm_kill, vm_pause, vm_roll, vm_reload,
           instance_links, peer_links, instance_crash, instance_fails, instance_drain, config_change, config_change,
           key_withdrawn)
+RESTORE_FAULTS = (store_restored_after_writes, store_restored, config_change, config_change, config_change,
+                  instances_report, instance_drain)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -12,7 +12,7 @@
 from callers import Caller, exchange
 from checks import Checks, Sent
 import crashing
-from faults import FAULTS
+from faults import FAULTS, RESTORE_FAULTS
 from instance import Instance
 from notices import Notices
 from proxy import Proxy
@@ -181,12 +181,12 @@
         if response is not None and version in self.added_versions[-8:]:
             self.checks.on_probe(process, vm.name, version, sent_at, response.status)
 
-    async def inject(self, seconds, log):
+    async def inject(self, faults, seconds, log):
         """Injects sequential and overlapping faults for `seconds`."""
         until = self.clock() + seconds
         running = []
         while self.clock() < until:
-            fault = self.random.choice(FAULTS)
+            fault = self.random.choice(faults)
             log(f"{self.clock():7.2f} {fault.__name__}")
             running.append(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.1, 2.5))
@@ -203,13 +203,17 @@
     try:
         await world.start()
         await asyncio.sleep(START_S)
-        jobs = [world.refresh_registrations(), world.watchdog(), world.probe_loop()]
+        jobs = [world.refresh_registrations(), world.watchdog(), world.probe_loop(), world.store.make_copies()]
         jobs += [Caller(world, n).run() for n in range(world.caller_count)]
         tasks = [asyncio.create_task(it) for it in jobs]
         await asyncio.sleep(2)
-        injected = [world.crashing.run(args.seconds, faults.append)]
-        if not args.only_crashing:
-            injected += [world.inject(args.seconds, faults.append), world.notices.run(args.seconds, faults.append)]
+        if args.only_restores:
+            injected = [world.inject(RESTORE_FAULTS, args.seconds, faults.append)]
+        else:
+            injected = [world.crashing.run(args.seconds, faults.append)]
+        if not args.only_crashing and not args.only_restores:
+            injected += [world.inject(FAULTS, args.seconds, faults.append),
+                         world.notices.run(args.seconds, faults.append)]
         await asyncio.gather(*injected)
         await asyncio.sleep(RECOVERY_S - 3)
         world.is_final_phase = True
@@ -250,6 +254,8 @@
     parser.add_argument("--out", default=os.path.join(ROOT, "build", "soak"))
     parser.add_argument("--program", default=os.path.join(ROOT, "build", "bin", "redwingferry-vm"))
     parser.add_argument("--only-crashing", action="store_true", help="no faults but requests that crash instances")
+    parser.add_argument("--only-restores", action="store_true",
+                        help="no faults but returns of the store from an older copy, among changes")
     parser.add_argument("--keep", action="store_true", help="keep the logs of seeds without a violation")
     args = parser.parse_args()
     try:
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -1,6 +1,8 @@
 """Test double of the platform's key-value service, with faults for each VM or for all."""
 import asyncio
 import base64
+import collections
+import dataclasses
 import json
 import random
 import urllib.parse
@@ -8,6 +10,17 @@
 import http11
 
 HISTORY = 400  # changes kept for watches
+COPY_INTERVAL_S, COPIES = 0.25, 40
+
+
+@dataclasses.dataclass
+class Copy:
+    at: float
+    items: dict
+    revision: int
+    compacted_revision: int
+    leases: dict
+    next_lease: int
 
 
 class Store:
@@ -22,20 +35,28 @@
         self.compacted_revision = 1  # watches after an earlier revision get 410
         self.leases = {}
         self.next_lease = 100
+        self.era = 1
+        self.copies = collections.deque(maxlen=COPIES)
+        self.written_by_others = {}  # key to (time, value or None) of the last write by operators and instances
+        self.writers = set()
         self.changed = asyncio.Event()
         self.fault = {}  # VM, or None for all, to the name of a fault
         self.calls = 0
         self.servers = []
 
     # Operations of operators and instances, which are not subject to faults.
-    def put(self, key, value, lease=0):
+    def put(self, key, value, lease=0, is_system=False):
+        if not is_system:
+            self._record_write(key, value)
         self.revision += 1
         created = self.items[key]["create_rev"] if key in self.items else self.revision
         self.items[key] = {"key": key, "value": value, "revision": self.revision, "create_rev": created, "lease": lease}
         self._event(dict(self.items[key]))
         return self.revision
 
-    def delete(self, key):
+    def delete(self, key, is_system=False):
+        if not is_system:
+            self._record_write(key, None)
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
@@ -54,6 +75,43 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def _record_write(self, key, value):
+        self.written_by_others.pop(key, None)  # keeps the order of the writes
+        self.written_by_others[key] = (asyncio.get_running_loop().time(), value)
+
+    async def make_copies(self):
+        while True:
+            self.copies.append(Copy(asyncio.get_running_loop().time(), dict(self.items), self.revision,
+                                    self.compacted_revision, dict(self.leases), self.next_lease))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    def close_connections(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restore_copy(self, age):
+        """Returns to the newest copy that is at least `age` old, in a new era; returns its time."""
+        now = asyncio.get_running_loop().time()
+        copy = next((it for it in reversed(self.copies) if it.at <= now - age), self.copies[0])
+        self.items, self.leases = dict(copy.items), dict(copy.leases)
+        self.revision, self.next_lease = copy.revision, copy.next_lease
+        self.compacted_revision = min(self.compacted_revision, copy.revision)
+        self.events = [it for it in self.events if it["revision"] <= copy.revision]
+        self.copies = collections.deque((it for it in self.copies if it.at <= copy.at), COPIES)
+        self.era += 1
+        return copy.at
+
+    def repeat_writes(self, since):
+        """Writes again what operators and instances have written since then."""
+        for key, (at, value) in list(self.written_by_others.items()):
+            current = self.items[key]["value"] if key in self.items else None
+            if at < since or current == value:
+                continue
+            if value is None:
+                self.delete(key)
+            else:
+                self.put(key, value)
+
     def expire(self, now):
         for lease in [it for it, (until, _) in self.leases.items() if until < now]:
             self._end_lease(lease)
@@ -62,7 +120,7 @@
         if self.leases.pop(lease, None) is None:
             return False
         for key in [it["key"] for it in self.items.values() if it["lease"] == lease]:
-            self.delete(key)
+            self.delete(key, is_system=True)
         return True
 
     async def listen(self, vm, address):
@@ -72,6 +130,7 @@
         self.servers.append(await asyncio.start_server(serve, *address))
 
     async def _serve(self, vm, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await http11.read_request(reader)
@@ -86,7 +145,7 @@
                     await asyncio.sleep(30)
                     return
                 if fault in ("busy", "many"):
-                    writer.write(http11.response(503 if fault == "busy" else 429, b"{}"))
+                    writer.write(http11.response(503 if fault == "busy" else 429, b"{}", Store_Era=self.era))
                     continue
                 if fault == "slow":
                     await asyncio.sleep(0.25)
@@ -94,11 +153,12 @@
                 if fault == "lost" and request.method == "POST" and self.random.random() < 0.5:
                     writer.transport.abort()
                     return
-                writer.write(http11.response(status, json.dumps(body).encode()))
+                writer.write(http11.response(status, json.dumps(body).encode(), Store_Era=self.era))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def _render_event(self, vm, event):
@@ -142,14 +202,14 @@
         if any(write.get("lease", 0) not in self.leases for write in body["writes"] if write.get("lease", 0)):
             return 404, {}
         for write in body["writes"]:
-            self.put(write["key"], base64.b64decode(write["value"]).decode(), write.get("lease", 0))
+            self.put(write["key"], base64.b64decode(write["value"]).decode(), write.get("lease", 0), is_system=True)
         for key in body["deletes"]:
-            self.delete(key)
+            self.delete(key, is_system=True)
         return 200, {"revision": self.revision}
 
     async def _watch(self, vm, after, until):
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             matching = [it for it in self.events if it["revision"] > after]
             left = until - asyncio.get_running_loop().time()
