--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -18,6 +18,10 @@
                          const std::function<TimePoint()>& boot_now) {
   watch->signal_change.connect(
       [this, boot_now](const StoreItem& it) { OnChange(it, boot_now()); });
+  watch->signal_new_era.connect(
+      [this, boot_now](const StoreRevision&, const StoreRevision& first) {
+        OnNewEra(first.era, boot_now());
+      });
   watch->signal_loaded.connect([this, watch] { OnLoaded(watch->revision()); });
   watch->signal_confirmed.connect([this, watch, boot_now](TimePoint t) {
     OnConfirmed(watch->revision(), t, boot_now());
@@ -28,7 +32,15 @@
       });
 }
 
-void ChangeRelay::OnLoaded(uint64_t revision) {
+void ChangeRelay::OnNewEra(uint64_t era, TimePoint now) {
+  OnLost(now);
+  changes_.clear();
+  revision_of_.clear();
+  gaps_.clear();
+  revision_ = oldest_revision_ = {era, 0};
+}
+
+void ChangeRelay::OnLoaded(const StoreRevision& revision) {
   if (revision <= revision_) return;
   gaps_.push_back({revision_, revision});
   if (gaps_.size() <= kMaxGaps) return;
@@ -48,8 +60,8 @@
   changes_[change.revision].push_back({change, now});
 }
 
-void ChangeRelay::OnConfirmed(uint64_t revision, TimePoint confirmed_at,
-                              TimePoint now) {
+void ChangeRelay::OnConfirmed(const StoreRevision& revision,
+                              TimePoint confirmed_at, TimePoint now) {
   revision_ = std::max(revision_, revision);
   confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   is_store_connected_ = true;
@@ -74,7 +86,9 @@
 void ChangeRelay::OnRequest(const std::string& vm,
                             const wire::ChangesRequestT& request,
                             TimePoint now) {
-  const PendingRequest it{vm, request.id, request.revision, now,
+  const StoreRevision revision{request.era.value_or(revision_.era),
+                               request.revision};
+  const PendingRequest it{vm, request.id, revision, now,
                           now + std::chrono::milliseconds(request.wait_ms)};
   if (!is_store_connected_ || IsHistoryGone(it) || HasChanges(it)) {
     Reply(it, now);
@@ -110,7 +124,7 @@
 }
 
 bool ChangeRelay::IsHistoryGone(const PendingRequest& it) const {
-  return it.revision < oldest_revision_ ||
+  return it.revision.era != revision_.era || it.revision < oldest_revision_ ||
          std::any_of(gaps_.begin(), gaps_.end(), [&](const Gap& gap) {
            return it.revision > gap.after && it.revision < gap.before;
          });
@@ -123,7 +137,8 @@
 void ChangeRelay::Reply(const PendingRequest& it, TimePoint now) {
   wire::ChangesReplyT reply;
   reply.id = it.id;
-  reply.revision = revision_;
+  reply.era = revision_.era;
+  reply.revision = revision_.number;
   reply.is_store_lost = !is_store_connected_;
   reply.is_history_gone = IsHistoryGone(it);
   reply.held_us = ToMicros(now - it.requested_at);
@@ -135,7 +150,7 @@
         auto out = std::make_unique<wire::StoreChangeT>();
         out->key = change.item.key;
         out->value = change.item.value;
-        out->revision = change.item.revision;
+        out->revision = change.item.revision.number;
         out->is_deleted = change.item.is_deleted;
         reply.changes.push_back(std::move(out));
       }
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -16,7 +16,8 @@
 namespace rwf {
 
 // Relays store changes seen by this VM to other VMs, so that only a few VMs
-// watch the store. Keeps the latest change of each key for a limited time.
+// watch the store. Keeps the latest change of each key for a limited time, of
+// one era: VMs that know another era have to load.
 // Performs no I/O. Times are of a clock that keeps running while the VM is
 // suspended, so that replies state the true age of the data even after a
 // suspension.
@@ -37,13 +38,17 @@
   // were added and removed since the last known revision, so requests for
   // changes after a revision in between cannot be answered. Must be called
   // before OnConfirmed for the same load.
-  void OnLoaded(uint64_t revision);
+  void OnLoaded(const StoreRevision& revision);
   // Must be called in the order in which the changes arrive.
   void OnChange(const StoreItem& change, TimePoint now);
   // All changes made before `confirmed_at` have been passed to OnChange, and
   // the store is known up to `revision`. Replies to pending requests that have
   // changes or can no longer be answered.
-  void OnConfirmed(uint64_t revision, TimePoint confirmed_at, TimePoint now);
+  void OnConfirmed(const StoreRevision& revision, TimePoint confirmed_at,
+                   TimePoint now);
+  // The store has begun a new era. Until its keys are loaded, VMs are told to
+  // ask the store themselves.
+  void OnNewEra(uint64_t era, TimePoint now);
   // The store is unreachable. Tells all waiting VMs to ask the store
   // themselves.
   void OnLost(TimePoint now);
@@ -64,28 +69,28 @@
   struct PendingRequest {
     std::string vm;
     uint64_t id = 0;
-    uint64_t revision = 0;
+    StoreRevision revision;
     TimePoint requested_at{};
     TimePoint expires_at{};
   };
   // Revisions between `after` and `before`, both excluded, in which changes are
   // not known individually.
   struct Gap {
-    uint64_t after = 0;
-    uint64_t before = 0;
+    StoreRevision after;
+    StoreRevision before;
   };
   bool HasChanges(const PendingRequest& it) const;
   bool IsHistoryGone(const PendingRequest& it) const;
   void Reply(const PendingRequest& it, TimePoint now);
 
   // Latest change of each key, by revision.
-  std::map<uint64_t, std::vector<Change>> changes_;
-  std::map<std::string, uint64_t> revision_of_;
+  std::map<StoreRevision, std::vector<Change>> changes_;
+  std::map<std::string, StoreRevision> revision_of_;
   std::vector<PendingRequest> pending_;
   std::vector<Gap> gaps_;  // by revision
-  uint64_t revision_ = 0;
+  StoreRevision revision_;
   // Requests for changes after an earlier revision cannot be answered.
-  uint64_t oldest_revision_ = 0;
+  StoreRevision oldest_revision_;
   TimePoint confirmed_at_{};
   bool is_store_connected_ = false;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -99,9 +99,11 @@
                     "Requests for store changes sent to the store because the "
                     "relay VM gave no usable reply",
                     [this] { return double(store_.counters().fallbacks); });
+  metrics_.AddGauge("rwf_store_era", "Era of the store that is loaded",
+                    [this] { return double(watch_.revision().era); });
   metrics_.AddGauge("rwf_store_revision",
-                    "Revision up to which the store is known",
-                    [this] { return double(watch_.revision()); });
+                    "Revision up to which the store is known, in its era",
+                    [this] { return double(watch_.revision().number); });
   metrics_.AddGauge("rwf_store_loads_total", "Completed loads of all entries",
                     [this] { return double(watch_.loads()); });
   metrics_.AddGauge("rwf_config_version",
@@ -147,9 +149,10 @@
 }
 
 EventLog::Line Gateway::StoreLine(std::string_view event,
-                                  uint64_t revision) const {
+                                  const StoreRevision& revision) const {
   EventLog::Line line = log_->State(event);
-  line.Number("revision", static_cast<int64_t>(revision));
+  line.Number("era", static_cast<int64_t>(revision.era))
+      .Number("revision", static_cast<int64_t>(revision.number));
   return line;
 }
 
@@ -159,6 +162,14 @@
     StoreLine(connected ? "store_connected" : "store_lost", watch_.revision())
         .Text("reason", reason);
   });
+  watch_.signal_new_era.connect(
+      [this](const StoreRevision& last, const StoreRevision& first) {
+        // The removal may be written again once more.
+        for (auto& [id, it] : restored_entries_) it.since = EventLoop::Now();
+        StoreLine("store_new_era", first)
+            .Number("previous_era", static_cast<int64_t>(last.era))
+            .Number("previous_revision", static_cast<int64_t>(last.number));
+      });
   watch_.signal_reload.connect([this](const std::string& reason) {
     StoreLine("store_reload", watch_.revision()).Text("reason", reason);
   });
@@ -282,9 +293,10 @@
     if (entry->info.started_ms > latest.time_since_epoch().count()) {
       OnUnusable(item.key, {"/born: lies in the future", entry->info.id});
     } else {
-      Apply(*entry);
+      Apply(*entry, item.revision);
     }
   } else if (const auto* zone = std::get_if<EvacuatedZone>(&change)) {
+    lapsed_evacuations_.erase(zone->zone);
     registry_.SetEvacuated(zone->zone, true);
     log_->State("zone_evacuated").Text("zone", zone->zone);
   } else if (const auto* unusable = std::get_if<UnusableEntry>(&change)) {
@@ -304,18 +316,29 @@
     return;
   }
   const StoreRemoval removal = decoder_->DecodeRemoval(key);
+  const TimePoint now = EventLoop::Now();
+  const bool is_new_era = !watch_.is_era_loaded();
   if (const auto* ended = std::get_if<EndedEvacuation>(&removal)) {
-    EndEvacuation(ended->zone);
+    if (is_new_era) {
+      lapsed_evacuations_.try_emplace(ended->zone, now);
+      log_->State("zone_evacuation_lapsed").Text("zone", ended->zone);
+    } else {
+      EndEvacuation(ended->zone);
+    }
     return;
   }
   const auto* removed = std::get_if<RemovedInstance>(&removal);
   if (removed == nullptr) return;
-  const TimePoint now = EventLoop::Now();
+  restored_entries_.erase(removed->id);
+  if (!is_new_era)
+    entry_versions_[removed->id].removed_in_era = watch_.revision().era;
   const bool is_after_outage =
       watch_.had_outage() && now - watch_.outage_end() < kOutageGracePeriod;
-  if (is_after_outage) {
-    lapsed_instances_.try_emplace(removed->id, now);
-    log_->State("instance_lapsed").Text("instance", removed->id);
+  if (is_new_era || is_after_outage) {
+    lapsed_instances_.try_emplace(removed->id, Lapse{now, is_new_era});
+    log_->State("instance_lapsed")
+        .Text("instance", removed->id)
+        .Flag("new_era", is_new_era);
     return;
   }
   RemoveInstance(removed->id, "entry-removed");
@@ -337,9 +360,11 @@
 
 void Gateway::WriteSecret() {
   const std::string secret = ToHex(RandomBytes(kSecretBytes));
-  store_.Write({kSecretKey, secret, 0, true, 0}, [](const Result<uint64_t>&) {
-    // Concurrent writers learn the secret that was stored through the watch.
-  });
+  store_.Write({kSecretKey, secret, 0, true, {}},
+               [](const Result<StoreRevision>&) {
+                 // Concurrent writers learn the secret that was stored through
+                 // the watch.
+               });
   secret_timer_ = loop_->After(std::chrono::seconds(1), [this] {
     if (!fleet_.is_started() && !is_leaving_) ScheduleSecretWrite();
   });
@@ -354,7 +379,8 @@
   }
 }
 
-void Gateway::Apply(std::shared_ptr<const Catalog> catalog, uint64_t revision) {
+void Gateway::Apply(std::shared_ptr<const Catalog> catalog,
+                    const StoreRevision& revision) {
   const auto& present = forwarder_->catalog();
   if (present != nullptr && catalog->version() <= present->version()) {
     if (catalog->version() < present->version()) {
@@ -382,7 +408,7 @@
   Tick();
 }
 
-void Gateway::Apply(const InstanceEntry& entry) {
+void Gateway::Apply(const InstanceEntry& entry, const StoreRevision& revision) {
   const TimePoint now = EventLoop::Now();
   EntryVersion& latest = entry_versions_[entry.info.id];
   // An entry that arrives after a newer one has been applied.
@@ -395,10 +421,16 @@
         .Number("sequence", entry.sequence);
     return;
   }
+  if (IsRestored(entry, revision)) {
+    restored_entries_[entry.info.id] = {entry, revision, now};
+    StoreLine("entry_restored", revision).Text("instance", entry.info.id);
+    return;
+  }
+  restored_entries_.erase(entry.info.id);
   if (latest.started_ms != 0 && entry.info.started_ms > latest.started_ms)
     crashes_.OnInstanceEnded(ProcessName(entry.info.id, latest.started_ms),
                              now);
-  latest = {entry.info.started_ms, entry.sequence};
+  latest = {entry.info.started_ms, entry.sequence, std::nullopt};
   lapsed_instances_.erase(entry.info.id);
   InstanceState* known = registry_.Find(entry.info.id);
   const bool was_draining = known != nullptr && known->info().is_draining;
@@ -417,15 +449,24 @@
   if (entry.info.is_draining) pool_.CloseIdleConnections(entry.info.id);
 }
 
+bool Gateway::IsRestored(const InstanceEntry& entry,
+                         const StoreRevision& revision) const {
+  const auto known = entry_versions_.find(entry.info.id);
+  return known != entry_versions_.end() && known->second.removed_in_era &&
+         *known->second.removed_in_era != revision.era &&
+         revision <= watch_.era_begin();
+}
+
 void Gateway::RemoveInstance(const std::string& id, const char* reason) {
+  lapsed_instances_.erase(id);
   if (registry_.Find(id) == nullptr) return;
+  entry_versions_[id].removed_in_era = watch_.revision().era;
   log_->State("instance_gone").Text("instance", id).Text("reason", reason);
   const int64_t started_ms = registry_.Find(id)->info().started_ms;
   crashes_.OnInstanceEnded(ProcessName(id, started_ms), EventLoop::Now());
   if (started_ms == 0) notices_.Forget(id);
   registry_.Remove(id);
   pool_.CloseIdleConnections(id);
-  lapsed_instances_.erase(id);
 }
 
 Duration Gateway::MaxColdStart() const {
@@ -439,6 +480,7 @@
 }
 
 void Gateway::EndEvacuation(const std::string& zone) {
+  lapsed_evacuations_.erase(zone);
   registry_.SetEvacuated(zone, false);
   // Idle instances may have become cold; they report it only with their next
   // entry.
@@ -484,17 +526,8 @@
         .Flag("own_store_reliable", store_.IsStoreReliable(BootTimeNow()));
   }
   if (watch_.is_connected()) {
-    std::vector<std::string> removed;
-    // If another VM was in contact with the store throughout, only this VM was
-    // disconnected, and the entries were in fact removed.
-    const bool was_local_outage =
-        fleet_.MaxStoreContact() > now - watch_.outage_begin();
-    for (const auto& [id, since] : lapsed_instances_) {
-      const TimePoint from = std::max(since, watch_.outage_end());
-      if (was_local_outage || now - from > kReregistrationTimeout)
-        removed.push_back(id);
-    }
-    for (const std::string& id : removed) RemoveInstance(id, "did-not-return");
+    RemoveLapsed(now);
+    ApplyRestored(now);
   }
   const auto& catalog = forwarder_->catalog();
   relay_.Tick(BootTimeNow());
@@ -507,6 +540,39 @@
                       catalog == nullptr ? 0 : catalog->version(), contact});
 }
 
+void Gateway::RemoveLapsed(TimePoint now) {
+  // If another VM was in contact with the store throughout, only this VM was
+  // disconnected, and the entries were in fact removed.
+  const bool was_local_outage =
+      fleet_.MaxStoreContact() > now - watch_.outage_begin();
+  std::vector<std::string> removed;
+  for (const auto& [id, it] : lapsed_instances_) {
+    // A further outage gives no more time to what was missing in a new era.
+    const TimePoint from =
+        it.is_new_era ? it.since : std::max(it.since, watch_.outage_end());
+    if (now - from > kReregistrationTimeout ||
+        (was_local_outage && !it.is_new_era))
+      removed.push_back(id);
+  }
+  for (const std::string& id : removed) RemoveInstance(id, "did-not-return");
+  std::vector<std::string> ended;
+  for (const auto& [zone, since] : lapsed_evacuations_) {
+    if (now - since > kReregistrationTimeout) ended.push_back(zone);
+  }
+  for (const std::string& zone : ended) EndEvacuation(zone);
+}
+
+void Gateway::ApplyRestored(TimePoint now) {
+  std::vector<RestoredEntry> kept;
+  for (const auto& [id, it] : restored_entries_) {
+    if (now - it.since > kRestoredEntryDelay) kept.push_back(it);
+  }
+  for (const RestoredEntry& it : kept) {
+    entry_versions_[it.entry.info.id].removed_in_era.reset();
+    Apply(it.entry, it.revision);
+  }
+}
+
 Duration Gateway::StoreContact(TimePoint now) const {
   if (!watch_.is_loaded() || watch_.is_failing()) return {};
   return now - (watch_.had_outage() ? watch_.outage_end() : started_at_);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,10 @@
   // after the store is reachable.
   static constexpr Duration kReregistrationTimeout =
       std::chrono::milliseconds(2000);
+  // An instance that was removed and is listed again by an older copy of the
+  // store is not used until its entry has stayed for this time: longer than the
+  // entry of an instance that no longer writes to the store.
+  static constexpr Duration kRestoredEntryDelay = std::chrono::seconds(6);
   // An entry whose instance is to start later than this from now is unusable:
   // all later entries of the instance would count as outdated.
   static constexpr Duration kMaxClockDifference = std::chrono::hours(24);
@@ -92,6 +97,21 @@
   struct EntryVersion {
     int64_t started_ms = 0;
     int64_t sequence = 0;
+    // Era of the store in which the entry was removed.
+    std::optional<uint64_t> removed_in_era;
+  };
+  // An entry that expired after a store outage, or that is missing in a new era
+  // of the store, and may be written again.
+  struct Lapse {
+    TimePoint since{};
+    bool is_new_era = false;
+  };
+  // An entry of an instance that was removed before the store returned to an
+  // older copy, which lists the instance again.
+  struct RestoredEntry {
+    InstanceEntry entry;
+    StoreRevision revision;
+    TimePoint since{};
   };
   void OnItem(const StoreItem& item);
   void OnRemoved(const std::string& key);
@@ -100,14 +120,23 @@
   void ScheduleSecretWrite();
   void WriteSecret();
   // `revision` is that of the entry in the store.
-  void Apply(std::shared_ptr<const Catalog> catalog, uint64_t revision);
-  void Apply(const InstanceEntry& entry);
+  void Apply(std::shared_ptr<const Catalog> catalog,
+             const StoreRevision& revision);
+  void Apply(const InstanceEntry& entry, const StoreRevision& revision);
   void OnUnusable(const std::string& key, const UnusableEntry& entry);
   void RemoveInstance(const std::string& id, const char* reason);
   void EndEvacuation(const std::string& zone);
+  // Removes what has lapsed and has not been written again in time.
+  void RemoveLapsed(TimePoint now);
+  // Uses the instances whose restored entries have stayed.
+  void ApplyRestored(TimePoint now);
+  // Returns whether `entry` may be that of an instance that has left since.
+  bool IsRestored(const InstanceEntry& entry,
+                  const StoreRevision& revision) const;
   void SetRetryBounds();
   // Starts a line on what is known of the store.
-  EventLog::Line StoreLine(std::string_view event, uint64_t revision) const;
+  EventLog::Line StoreLine(std::string_view event,
+                           const StoreRevision& revision) const;
   void ConnectWatchLog();
   // Connects the components that relay store changes between VMs.
   void ConnectRelay();
@@ -151,9 +180,11 @@
   std::unique_ptr<FrontServer> front_;
   std::unique_ptr<Forwarder> forwarder_;
   std::map<std::string, EntryVersion> entry_versions_;
-  // Instances whose entries expired after a store outage, with the time of the
-  // expiry.
-  std::map<std::string, TimePoint> lapsed_instances_;
+  std::map<std::string, Lapse> lapsed_instances_;
+  std::map<std::string, RestoredEntry> restored_entries_;
+  // Zones whose evacuation is missing in a new era, with the time at which that
+  // was found.
+  std::map<std::string, TimePoint> lapsed_evacuations_;
   std::vector<std::string> services_;
   bool is_leaving_ = false;
   bool were_keys_fresh_ = false;
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -20,10 +20,12 @@
 
 void Registration::OnChange(const StoreItem& item) {
   // The watch may be behind this VM's own writes.
-  if (item.key != key_ || item.revision < latest_revision_) return;
+  const bool is_older = item.revision.era == latest_revision_.era &&
+                        item.revision < latest_revision_;
+  if (item.key != key_ || is_older) return;
   const bool was_seen = is_seen_;
   latest_revision_ = item.revision;
-  revision_ = item.is_deleted ? 0 : item.revision;
+  revision_ = item.is_deleted ? StoreRevision{} : item.revision;
   is_seen_ = !is_stopped_ && !item.is_deleted && item.value == value_;
   if (is_seen_ && !was_seen) seen_since_ = EventLoop::Now();
   if (is_seen_ || !was_seen || is_stopped_) return;
@@ -66,7 +68,7 @@
   // Processes of this VM may have writes on their way that take effect seconds
   // later. The condition lets only one of them win.
   store_->Write({key_, value_, lease_, true, revision_},
-                [this](const Result<uint64_t>& done) {
+                [this](const Result<StoreRevision>& done) {
                   is_writing_ = false;
                   if (done && *done >= latest_revision_) {
                     revision_ = latest_revision_ = *done;
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -71,8 +71,9 @@
   bool is_writing_ = false;
   // The store holds the entry of this process, as seen by the watch.
   bool is_seen_ = false;
-  uint64_t revision_ = 0;  // of the entry in the store; 0 if there is none
-  uint64_t latest_revision_ = 0;  // of a write or removal of the entry
+  // Of the entry in the store; number 0 if there is none.
+  StoreRevision revision_;
+  StoreRevision latest_revision_;  // of a write or removal of the entry
   // Start of the last call that set or renewed the lease.
   TimePoint renewed_at_{};
   TimePoint seen_since_{};
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -1,5 +1,7 @@
 #include "gateway/relayed_store.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,8 +11,9 @@
                            Callbacks callbacks)
     : loop_(loop), store_(store), callbacks_(std::move(callbacks)) {}
 
-void RelayedStore::Watch(const std::string& prefix, uint64_t revision,
-                         Duration wait, Callback<ChangeSet> done) {
+void RelayedStore::Watch(const std::string& prefix,
+                         const StoreRevision& revision, Duration wait,
+                         Callback<ChangeSet> done) {
   const TimePoint now = callbacks_.boot_now();
   const std::string relay = callbacks_.relay();
   if (relay.empty()) {
@@ -25,7 +28,8 @@
   }
   wire::ChangesRequestT request;
   request.id = next_id_++;
-  request.revision = revision;
+  request.era = revision.era;
+  request.revision = revision.number;
   request.wait_ms = static_cast<uint32_t>(ToMillis(kRelayWait));
   if (!callbacks_.send(relay, request)) {
     ++counters_.fallbacks;
@@ -52,38 +56,49 @@
   if (pending_ == nullptr || pending_->id != reply.id || pending_->vm != vm)
     return;
   const Duration age = std::chrono::microseconds(reply.age_us);
-  if (reply.is_store_lost || age > kMaxAge) {
+  const uint64_t own_era = pending_->revision.era;
+  const uint64_t era = reply.era.value_or(own_era);
+  if (reply.is_store_lost || age > kMaxAge || era < own_era) {
     FallBackToStore();
     return;
   }
   timer_.reset();
   ++counters_.relayed;
   const std::unique_ptr<Pending> it = std::move(pending_);
+  if (era != own_era) {
+    it->done(Fail(StoreErrc::kHistoryGone,
+                  fmt::format("{} has loaded era {} of the store, not {}", vm,
+                              era, own_era)));
+    return;
+  }
   if (reply.is_history_gone) {
-    it->done(
-        Fail(StoreErrc::kHistoryGone,
-             "change history unavailable: the relay VM no longer keeps the "
-             "requested changes"));
+    it->done(Fail(StoreErrc::kHistoryGone,
+                  vm + " no longer keeps the requested changes of the store"));
     return;
   }
   ChangeSet out;
   for (const auto& change : reply.changes) {
-    out.events.push_back(
-        {change->key, change->value, change->revision, change->is_deleted});
+    out.events.push_back({change->key,
+                          change->value,
+                          {era, change->revision},
+                          change->is_deleted});
   }
   // The other VM may be behind what this VM has loaded itself, and without
   // events its revision may have moved by changes that cancelled each other
   // out.
-  out.revision = out.events.empty() ? it->revision
-                                    : std::max(reply.revision, it->revision);
+  out.revision =
+      out.events.empty()
+          ? it->revision
+          : std::max(StoreRevision{era, reply.revision}, it->revision);
   // The other VM received the request after it was made here, so this errs
   // towards an older time.
   out.current_after = std::chrono::microseconds(reply.held_us) - age;
   it->done(std::move(out));
 }
 
-void RelayedStore::WatchStore(const std::string& prefix, uint64_t revision,
-                              Duration wait, TimePoint requested_at,
+void RelayedStore::WatchStore(const std::string& prefix,
+                              const StoreRevision& revision, Duration wait,
+                              TimePoint requested_at,
                               Callback<ChangeSet> done) {
   const TimePoint started_at = callbacks_.boot_now();
   Callback<ChangeSet> done_with_age = [this, wait, requested_at, started_at,
@@ -120,6 +135,8 @@
                 RecordingFailures<ItemPage>(
                     [this, done = std::move(done)](Result<ItemPage> page) {
                       if (page) {
+                        if (latest_read_revision_.era != page->revision.era)
+                          latest_read_revision_ = {page->revision.era, 0};
                         for (const StoreItem& it : page->items)
                           latest_read_revision_ =
                               std::max(latest_read_revision_, it.revision);
@@ -128,7 +145,7 @@
                     }));
 }
 
-void RelayedStore::Write(const ItemWrite& write, Callback<uint64_t> done) {
+void RelayedStore::Write(const ItemWrite& write, Callback<StoreRevision> done) {
   store_->Write(write, RecordingFailures(std::move(done)));
 }
 
--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -65,9 +65,9 @@
 
   void Range(const std::string& prefix, const std::string& after,
              Duration timeout, Callback<ItemPage> done) override;
-  void Watch(const std::string& prefix, uint64_t revision, Duration wait,
-             Callback<ChangeSet> done) override;
-  void Write(const ItemWrite& write, Callback<uint64_t> done) override;
+  void Watch(const std::string& prefix, const StoreRevision& revision,
+             Duration wait, Callback<ChangeSet> done) override;
+  void Write(const ItemWrite& write, Callback<StoreRevision> done) override;
   void Grant(Duration ttl, Callback<GrantedLease> done) override;
   void KeepAlive(uint64_t lease, Callback<bool> done) override;
   void Release(uint64_t lease, Callback<bool> done) override;
@@ -77,12 +77,13 @@
     uint64_t id = 0;
     std::string vm;
     std::string prefix;
-    uint64_t revision = 0;
+    StoreRevision revision;
     TimePoint requested_at{};  // boot time
     Callback<ChangeSet> done;
   };
-  void WatchStore(const std::string& prefix, uint64_t revision, Duration wait,
-                  TimePoint requested_at, Callback<ChangeSet> done);
+  void WatchStore(const std::string& prefix, const StoreRevision& revision,
+                  Duration wait, TimePoint requested_at,
+                  Callback<ChangeSet> done);
   void FallBackToStore();
   // Wraps `done` to record whether the store answered.
   template <typename T>
@@ -98,7 +99,7 @@
   // Latest revision of an item read from the store. The pages of a load are not
   // a snapshot, so an item may be newer than the revision from which is
   // watched, and a relay VM may know nothing of its removal.
-  uint64_t latest_read_revision_ = 0;
+  StoreRevision latest_read_revision_;
   std::unique_ptr<Pending> pending_;
   std::unique_ptr<Timer> timer_;
 };
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -3,8 +3,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
+#include "base/hash.h"
+
 namespace rwf {
 
 StoreWatch::StoreWatch(EventLoop* loop, RevisionStore* store,
@@ -12,8 +15,8 @@
     : loop_(loop), store_(store), boot_now_(std::move(boot_now)) {}
 
 void StoreWatch::Start() {
-  loading_revisions_.clear();
-  load_revision_ = 0;
+  loading_keys_.clear();
+  load_revision_.reset();
   Load("");
 }
 
@@ -31,11 +34,18 @@
     return;
   }
   RecordSuccess();
+  const uint64_t era = page->revision.era;
+  if (era_ && era != *era_) BeginEra(page->revision);
+  era_ = era;
+  if (load_revision_ && era != load_revision_->era) {
+    Reload("the store began a new era during the load");
+    return;
+  }
   // The pages are not a snapshot: changes after the first page are left to the
   // watch.
-  if (load_revision_ == 0) load_revision_ = page->revision;
+  if (!load_revision_) load_revision_ = page->revision;
   for (const StoreItem& it : page->items) {
-    loading_revisions_[it.key] = it.revision;
+    loading_keys_.insert(it.key);
     Deliver(it);
   }
   if (page->has_more && !page->items.empty()) {
@@ -45,6 +55,12 @@
   FinishLoad();
 }
 
+void StoreWatch::BeginEra(const StoreRevision& first) {
+  for (auto& [key, it] : known_keys_) it.is_of_former_era = true;
+  era_begin_ = first;
+  signal_new_era.emit(revision_, first);
+}
+
 void StoreWatch::Reload(const std::string& reason) {
   needs_load_ = true;
   signal_reload.emit(reason);
@@ -53,18 +69,19 @@
 
 void StoreWatch::FinishLoad() {
   std::vector<std::string> removed;
-  for (const auto& [key, revision] : known_revisions_) {
+  for (const auto& [key, it] : known_keys_) {
     // A key that was written during the load may be missing from the pages.
-    if (!loading_revisions_.contains(key) && revision <= load_revision_)
-      removed.push_back(key);
+    const bool may_be_later =
+        !it.is_of_former_era && it.revision > *load_revision_;
+    if (!loading_keys_.contains(key) && !may_be_later) removed.push_back(key);
   }
   for (const std::string& key : removed) {
-    known_revisions_.erase(key);
-    signal_change.emit({key, "", load_revision_, true});
+    known_keys_.erase(key);
+    signal_change.emit({key, "", *load_revision_, true});
     signal_removed.emit(key);
   }
-  loading_revisions_.clear();
-  revision_ = load_revision_;
+  loading_keys_.clear();
+  revision_ = *load_revision_;
   needs_load_ = false;
   is_loaded_ = true;
   ++loads_;
@@ -96,7 +113,7 @@
   // changes were missed.
   if (changes->events.empty() && changes->revision > revision_) {
     Reload(fmt::format("revision {} of the store without changes since {}",
-                       changes->revision, revision_));
+                       changes->revision.number, revision_.number));
     return;
   }
   revision_ = std::max(revision_, changes->revision);
@@ -114,17 +131,25 @@
 }
 
 void StoreWatch::Deliver(const StoreItem& item) {
-  const auto it = known_revisions_.find(item.key);
-  if (it != known_revisions_.end() && item.revision <= it->second) return;
+  const auto it = known_keys_.find(item.key);
+  const bool is_known = it != known_keys_.end();
+  const bool is_of_former_era = is_known && it->second.is_of_former_era;
+  if (is_known && !is_of_former_era && item.revision <= it->second.revision)
+    return;
   signal_change.emit(item);
   if (item.is_deleted) {
-    if (it == known_revisions_.end()) return;
-    known_revisions_.erase(it);
+    if (!is_known) return;
+    known_keys_.erase(it);
     signal_removed.emit(item.key);
     return;
   }
-  known_revisions_[item.key] = item.revision;
-  signal_item.emit(item);
+  const KnownKey present{item.revision, Hash64(item.value), false};
+  // A value that the store still holds in a new era is not a new write: times
+  // in it count from the write.
+  const bool is_still_held =
+      is_of_former_era && it->second.value_hash == present.value_hash;
+  known_keys_[item.key] = present;
+  if (!is_still_held) signal_item.emit(item);
 }
 
 void StoreWatch::RecordSuccess() {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "net/event_loop.h"
@@ -13,8 +15,9 @@
 namespace rwf {
 
 // Follows all keys of the store: loads them once and then watches for changes.
-// Loads again if the store has discarded the history or a reply shows that
-// changes were missed. The revisions delivered for a key never decrease.
+// Loads again if the store has discarded the history, has begun a new era or a
+// reply shows that changes were missed. The revisions delivered for a key never
+// decrease.
 class StoreWatch {
  public:
   // Wait time of one watch call. It bounds how long a dead connection or a
@@ -57,15 +60,27 @@
   TimePoint outage_begin() const { return outage_begin_; }
   bool had_outage() const { return outage_end_ != TimePoint{}; }
   bool is_failing() const { return failures_ > 0; }
-  uint64_t revision() const { return revision_; }
-  size_t key_count() const { return known_revisions_.size(); }
+  const StoreRevision& revision() const { return revision_; }
+  size_t key_count() const { return known_keys_.size(); }
   uint64_t loads() const { return loads_; }
+  // Whether the keys of the present era have been loaded. Until then, keys that
+  // are removed were lost by the return of the store to an older copy.
+  bool is_era_loaded() const { return era_ == revision_.era; }
 
-  // A key was written or is seen for the first time.
+  // The highest revision that the copy may have held with which the present era
+  // began.
+  const StoreRevision& era_begin() const { return era_begin_; }
+
+  // A key was written or is seen for the first time. Not emitted if a new era
+  // shows the known value of a key again.
   sigc::signal<void(const StoreItem&)> signal_item;
   sigc::signal<void(const std::string& key)> signal_removed;
   // Each change in the order of arrival, including deletions of unknown keys.
+  // In a new era, all keys of the store change.
   sigc::signal<void(const StoreItem&)> signal_change;
+  // The store has begun a new era. Emitted before its first change.
+  sigc::signal<void(const StoreRevision& last, const StoreRevision& first)>
+      signal_new_era;
   // All keys have been loaded, for the first time or again. Emitted before
   // signal_confirmed for the same load.
   sigc::signal<void()> signal_loaded;
@@ -77,8 +92,15 @@
       signal_connection;
 
  private:
+  struct KnownKey {
+    StoreRevision revision;
+    uint64_t value_hash = 0;
+    // Not read yet in the present era.
+    bool is_of_former_era = false;
+  };
   void Load(const std::string& after);
   void Reload(const std::string& reason);
+  void BeginEra(const StoreRevision& first);
   void OnPage(Result<ItemPage> page);
   void FinishLoad();
   void Watch();
@@ -91,10 +113,13 @@
   EventLoop* loop_;
   RevisionStore* store_;
   std::function<TimePoint()> boot_now_;
-  std::map<std::string, uint64_t> known_revisions_;  // revision by key
-  std::map<std::string, uint64_t> loading_revisions_;
-  uint64_t revision_ = 0;
-  uint64_t load_revision_ = 0;
+  std::map<std::string, KnownKey> known_keys_;
+  std::set<std::string> loading_keys_;
+  StoreRevision revision_;
+  // Revision of the first page of the load in progress.
+  std::optional<StoreRevision> load_revision_;
+  std::optional<uint64_t> era_;  // not set before the first page
+  StoreRevision era_begin_;
   bool is_loaded_ = false;
   bool needs_load_ = true;
   bool is_connected_ = false;
--- a/src/replica/revision_store.h
+++ b/src/replica/revision_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,12 +13,27 @@
 
 namespace rwf {
 
+// A point in the history of the store. A store that is restored from an older
+// copy begins a new era: it gives out the numbers after the copy again, for
+// other changes. Within an era the numbers increase with each change, and each
+// revision of an era is later than all revisions of the eras before.
+struct StoreRevision {
+  constexpr StoreRevision() = default;
+  constexpr StoreRevision(uint64_t era, uint64_t number)
+      : era(era), number(number) {}
+
+  uint64_t era = 0;
+  uint64_t number = 0;
+  friend constexpr auto operator<=>(const StoreRevision&,
+                                    const StoreRevision&) = default;
+};
+
 // The latest version of one item. `revision` is the revision of the store at
-// which it was written.
+// which it was written, in the era in which it was read.
 struct StoreItem {
   std::string key;
   std::string value;
-  uint64_t revision = 0;
+  StoreRevision revision;
   bool is_deleted = false;
   friend bool operator==(const StoreItem&, const StoreItem&) = default;
 };
@@ -27,14 +43,14 @@
 struct ItemPage {
   std::vector<StoreItem> items;
   bool has_more = false;
-  uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 // Changes since a revision. If there are no events, nothing has changed up to
 // `revision`.
 struct ChangeSet {
   std::vector<StoreItem> events;
-  uint64_t revision = 0;
+  StoreRevision revision;
   // The changes are complete up to this offset from the start of the call. The
   // offset may be negative. If not set, they are complete up to the start of
   // the call, or up to its end if it waited for the full time.
@@ -47,16 +63,17 @@
 };
 
 // A write of one key. If `is_conditional`, it succeeds only if the revision of
-// the key is `expected_revision` (0 if the key must not exist).
+// the key is `expected_revision` (number 0 if the key must not exist).
 struct ItemWrite {
   std::string key;
   std::string value;
   uint64_t lease = 0;  // 0 if none
   bool is_conditional = false;
-  uint64_t expected_revision = 0;
+  StoreRevision expected_revision;
 };
 
 // A key-value store with a single revision that increases with each change.
+// Results of one call belong to one era.
 // Calls are asynchronous: each returns immediately and runs its callback
 // exactly once, later. Errors are those of StoreErrc; a write without a
 // response fails with kUnknownOutcome.
@@ -73,13 +90,14 @@
   virtual void Range(const std::string& prefix, const std::string& after,
                      Duration timeout, Callback<ItemPage> done) = 0;
   // Returns the changes after `revision` as soon as there are any, or an empty
-  // set after `wait`. After kHistoryGone the caller has to read everything
-  // again.
-  virtual void Watch(const std::string& prefix, uint64_t revision,
+  // set after `wait`. Fails with kHistoryGone if the store has discarded the
+  // history since then or has begun another era; the caller has to read
+  // everything again.
+  virtual void Watch(const std::string& prefix, const StoreRevision& revision,
                      Duration wait, Callback<ChangeSet> done) = 0;
   // Returns the revision of the write. Fails with kConflict if the condition
   // does not hold and with kNotHeld if the lease has expired.
-  virtual void Write(const ItemWrite& write, Callback<uint64_t> done) = 0;
+  virtual void Write(const ItemWrite& write, Callback<StoreRevision> done) = 0;
   virtual void Grant(Duration ttl, Callback<GrantedLease> done) = 0;
   // Extends the lease by its TTL from now. Fails with kNotHeld if it has
   // expired.
--- a/tests/gateway/change_relay_test.cc
+++ b/tests/gateway/change_relay_test.cc
@@ -16,7 +16,9 @@
 
 StoreItem Item(const std::string& key, uint64_t revision,
                bool is_deleted = false) {
-  return {key, is_deleted ? "" : std::to_string(revision), revision,
+  return {key,
+          is_deleted ? "" : std::to_string(revision),
+          {0, revision},
           is_deleted};
 }
 
@@ -27,13 +29,15 @@
         [this](const std::string& vm, const wire::ChangesReplyT& it) {
           replies.emplace_back(vm, it);
         });
-    relay.OnLoaded(10);
-    relay.OnConfirmed(10, now, now);
+    relay.OnLoaded({0, 10});
+    relay.OnConfirmed({0, 10}, now, now);
   }
-  void SendRequest(uint64_t revision, uint32_t wait_ms = 500) {
+  void SendRequest(uint64_t number) { SendRequest({0, number}); }
+  void SendRequest(const StoreRevision& revision, uint32_t wait_ms = 500) {
     wire::ChangesRequestT request;
     request.id = ++request_count;
-    request.revision = revision;
+    request.era = revision.era;
+    request.revision = revision.number;
     request.wait_ms = wait_ms;
     relay.OnRequest("v2", request, now);
   }
@@ -51,7 +55,7 @@
   now += 100 * kMillisecond;
   relay.OnChange(Item("a", 12), now);
   CHECK(replies.empty());
-  relay.OnConfirmed(12, now - 30 * kMillisecond, now);
+  relay.OnConfirmed({0, 12}, now - 30 * kMillisecond, now);
   REQUIRE(replies.size() == 1);
   const wire::ChangesReplyT& reply = replies.front().second;
   REQUIRE(reply.changes.size() == 1);
@@ -80,7 +84,7 @@
   CHECK(replies.front().second.is_store_lost);
   SendRequest(10);
   CHECK(replies.size() == 2);
-  relay.OnConfirmed(10, now, now);
+  relay.OnConfirmed({0, 10}, now, now);
   SendRequest(10);
   CHECK(replies.size() == 2);
 }
@@ -92,10 +96,10 @@
   REQUIRE(replies.size() == 1);
   CHECK(replies.back().second.is_history_gone);
   relay.OnChange(Item("a", 11), now);
-  relay.OnConfirmed(11, now, now);
+  relay.OnConfirmed({0, 11}, now, now);
   now += ChangeRelay::kRetention + kMillisecond;
   relay.Tick(now);
-  relay.OnConfirmed(11, now, now);
+  relay.OnConfirmed({0, 11}, now, now);
   SendRequest(10);
   REQUIRE(replies.size() == 2);
   CHECK(replies.back().second.is_history_gone);
@@ -103,6 +107,51 @@
   CHECK(replies.size() == 2);
 }
 
+// Guards against followers that go on with what they know when the store is
+// restored from an older copy, whose revisions are given out again.
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, new era of the store, makes followers load") {
+  SendRequest({0, 10});
+  relay.OnNewEra(1, now);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.back().second.is_store_lost);
+  relay.OnChange({"a", "8", {1, 8}, false}, now);
+  // The load is not complete.
+  SendRequest({0, 10});
+  REQUIRE(replies.size() == 2);
+  CHECK(replies.back().second.is_store_lost);
+  CHECK(replies.back().second.changes.empty());
+  relay.OnLoaded({1, 9});
+  relay.OnConfirmed({1, 9}, now, now);
+  for (const StoreRevision& revision :
+       {StoreRevision{0, 10}, StoreRevision{0, 9}, StoreRevision{1, 8},
+        StoreRevision{2, 9}}) {
+    CAPTURE(revision.era);
+    CAPTURE(revision.number);
+    const size_t n = replies.size();
+    SendRequest(revision);
+    REQUIRE(replies.size() == n + 1);
+    CHECK(replies.back().second.is_history_gone);
+    CHECK(replies.back().second.era == 1);
+  }
+  const size_t n = replies.size();
+  SendRequest({1, 9});
+  CHECK(replies.size() == n);
+}
+
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, request without an era, is of its own era") {
+  relay.OnNewEra(4, now);
+  relay.OnLoaded({4, 9});
+  relay.OnConfirmed({4, 9}, now, now);
+  wire::ChangesRequestT request;
+  request.id = 1;
+  request.revision = 9;
+  request.wait_ms = 500;
+  relay.OnRequest("v2", request, now);
+  CHECK(replies.empty());
+}
+
 // Guards against followers whose contents differ from the store after any order
 // of changes, deletions, reloads and requests.
 TEST_CASE("Relay, random changes, keeps followers equal to the store") {
@@ -115,8 +164,8 @@
     std::map<std::string, std::string> store;
     std::map<std::string, std::string> follower;
     uint64_t known_revision = 5;
-    relay.OnLoaded(5);
-    relay.OnConfirmed(5, now, now);
+    relay.OnLoaded({0, 5});
+    relay.OnConfirmed({0, 5}, now, now);
     bool history_lost = false;
     relay.signal_reply.connect(
         [&](const std::string&, const wire::ChangesReplyT& reply) {
@@ -145,7 +194,7 @@
         }
         relay.OnChange(it, now);
       }
-      relay.OnConfirmed(revision, now, now);
+      relay.OnConfirmed({0, revision}, now, now);
       relay.Tick(now);
       if (rng() % 3 != 0) continue;
       wire::ChangesRequestT request;
@@ -169,12 +218,12 @@
  public:
   void Range(const std::string&, const std::string&, Duration,
              Callback<ItemPage>) override {}
-  void Watch(const std::string&, uint64_t, Duration wait,
+  void Watch(const std::string&, const StoreRevision&, Duration wait,
              Callback<ChangeSet> done) override {
     last_wait = wait;
     watches.push_back(std::move(done));
   }
-  void Write(const ItemWrite&, Callback<uint64_t>) override {}
+  void Write(const ItemWrite&, Callback<StoreRevision>) override {}
   void Grant(Duration, Callback<GrantedLease>) override {}
   void KeepAlive(uint64_t, Callback<bool> done) override {
     done(Fail(StoreErrc::kUnavailable, "request rejected"));
@@ -186,6 +235,8 @@
 
 class RelayedStoreFixture {
  protected:
+  static constexpr uint64_t kEra = 3;
+
   RelayedStoreFixture() {
     RelayedStore::Callbacks callbacks;
     callbacks.relay = [this] { return relay; };
@@ -200,12 +251,13 @@
   }
   void Watch() {
     relayed_store->Watch(
-        "", 10, std::chrono::seconds(2),
+        "", {kEra, 10}, std::chrono::seconds(2),
         [this](const Result<ChangeSet>& it) { results.push_back(it); });
   }
   wire::ChangesReplyT Reply(Duration held, Duration age) const {
     wire::ChangesReplyT out;
     out.id = sent_requests.back().id;
+    out.era = kEra;
     out.revision = 10;
     out.held_us = static_cast<uint64_t>(held / std::chrono::microseconds(1));
     out.age_us = static_cast<uint64_t>(age / std::chrono::microseconds(1));
@@ -256,6 +308,12 @@
     relayed_store->OnReply("v1",
                            Reply({}, RelayedStore::kMaxAge + kMillisecond));
   }
+  SUBCASE("relay VM in an earlier era") {
+    Watch();
+    wire::ChangesReplyT reply = Reply({}, {});
+    reply.era = kEra - 1;
+    relayed_store->OnReply("v1", reply);
+  }
   SUBCASE("silent") {
     Watch();
     RunFor(RelayedStore::kRelayWait + RelayedStore::kRelayTimeoutMargin +
@@ -273,12 +331,37 @@
   REQUIRE(store.watches.size() == 1);
   CHECK(store.last_wait == RelayedStore::kFallbackWait);
   boot_time += 5 * kMillisecond;
-  store.watches.front()(ChangeSet{{}, 10, std::nullopt});
+  store.watches.front()(ChangeSet{{}, {kEra, 10}, std::nullopt});
   REQUIRE(results.size() == 1);
   // A reply before the wait is over confirms the state only up to the call.
   CHECK(results.front()->current_after == Duration::zero());
 }
 
+// Guards against a VM that takes itself for current because its relay VM knows
+// no change after a revision that was given out again.
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Watch, relay VM in a later era, has to load") {
+  Watch();
+  CHECK(sent_requests.back().era == kEra);
+  wire::ChangesReplyT reply = Reply({}, {});
+  reply.era = kEra + 1;
+  relayed_store->OnReply("v1", reply);
+  REQUIRE(results.size() == 1);
+  REQUIRE_FALSE(results.front().has_value());
+  CHECK(results.front().error().code == StoreErrc::kHistoryGone);
+}
+
+TEST_CASE_FIXTURE(RelayedStoreFixture,
+                  "Watch, reply without an era, is of the era requested") {
+  Watch();
+  wire::ChangesReplyT reply = Reply({}, {});
+  reply.era = flatbuffers::nullopt;
+  relayed_store->OnReply("v1", reply);
+  REQUIRE(results.size() == 1);
+  REQUIRE(results.front().has_value());
+  CHECK(results.front()->revision == StoreRevision{kEra, 10});
+}
+
 TEST_CASE_FIXTURE(RelayedStoreFixture,
                   "Watch, VM is a relay, waits for a shorter time") {
   relay = "";
@@ -286,7 +369,7 @@
   Watch();
   CHECK(store.last_wait == RelayedStore::kWaitAsRelay);
   boot_time += RelayedStore::kWaitAsRelay;
-  store.watches.front()(ChangeSet{{}, 10, std::nullopt});
+  store.watches.front()(ChangeSet{{}, {0, 10}, std::nullopt});
   REQUIRE(results.size() == 1);
   CHECK(results.front()->current_after == RelayedStore::kWaitAsRelay);
 }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,7 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <doctest/doctest.h>
-#include <fcntl.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include <optional>
@@ -29,10 +29,16 @@
  "action":{"service":"s","timeout_s":2,"max_attempts":2}}]}],
  "clusters":[{"name":"s"}]})";
 
-std::string EntryJson(const char* state = "ready") {
+std::string EntryJson(const char* state = "ready", int sequence = 1) {
   return std::string(R"({"service":"s","address":"127.0.0.1:1","zone":"z",)") +
-         R"("slots":4,"cold_remaining_s":0,"sequence":1,"born":5,"state":")" +
-         state + "\"}";
+         R"("slots":4,"cold_remaining_s":0,"sequence":)" +
+         std::to_string(sequence) + R"(,"born":5,"state":")" + state + "\"}";
+}
+std::string ConfigJson(int version) {
+  const std::string text = kConfig;
+  const std::string_view present = "\"version\":3";
+  return std::string(text).replace(text.find(present), present.size(),
+                                   "\"version\":" + std::to_string(version));
 }
 
 // One VM with an in-memory store and its HTTP endpoints.
@@ -77,21 +83,31 @@
     loop.Run();
     return out;
   }
-  // Returns the number of known upstream instances.
-  int InstanceCount() {
+  // Returns the value of a gauge without labels.
+  int Gauge(const std::string& name) {
     const std::string text = gateway->metrics()->Collect();
-    const size_t at = text.find("\nrwf_instances ");
+    const std::string begin = "\n" + name + " ";
+    const size_t at = text.find(begin);
     REQUIRE(at != std::string::npos);
-    return std::stoi(text.substr(at + 15));
+    return std::stoi(text.substr(at + begin.size()));
   }
+  bool HasLogged(const std::string& event) {
+    log.Flush();
+    std::string text(static_cast<size_t>(lseek(log_fd, 0, SEEK_END)), 0);
+    REQUIRE(pread(log_fd, text.data(), text.size(), 0) ==
+            static_cast<ssize_t>(text.size()));
+    return text.find("\"event\":\"" + event + "\"") != std::string::npos;
+  }
+  // Returns the number of known upstream instances.
+  int InstanceCount() { return Gauge("rwf_instances"); }
 
   EventLoop loop;
   MemoryStore store{&loop};
   platform::Settings settings;
   const platform::Decoder decoder{{{"z", "r"}}};
   const platform::ResponseNoticeDecoder notice_decoder{};
-  int null_fd = open("/dev/null", O_WRONLY);
-  EventLog log{&loop, null_fd, "v1"};
+  int log_fd = memfd_create("log", 0);
+  EventLog log{&loop, log_fd, "v1"};
   HttpClient client{&loop, {}};
   std::optional<Gateway> gateway;
   std::optional<platform::EndpointServers> endpoints;
@@ -192,6 +208,131 @@
   CHECK(InstanceCount() == 1);
 }
 
+// Guards against requests to an instance that has left, because the store is
+// restored from a copy that still lists it.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, left, listed by a restored store, stays removed "
+                  "until it writes again") {
+  store.Put("op/config", kConfig);
+  store.Put("servers/left", EntryJson());
+  store.Put("servers/draining", EntryJson());
+  Start();
+  RunFor(300 * kMillisecond);
+  REQUIRE(InstanceCount() == 2);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  store.Put("servers/draining", EntryJson("draining", 2));
+  store.Delete("servers/left");
+  RunFor(700 * kMillisecond);
+  REQUIRE(InstanceCount() == 1);
+  REQUIRE(Gauge("rwf_instances_draining") == 1);
+  store.Restore(copy);
+  RunFor(700 * kMillisecond);
+  CHECK(Gauge("rwf_store_era") == 1);
+  CHECK(InstanceCount() == 1);
+  CHECK(Gauge("rwf_instances_draining") == 1);
+  store.Put("servers/left", EntryJson("ready", 2));
+  RunFor(700 * kMillisecond);
+  CHECK(InstanceCount() == 2);
+}
+
+// Guards against shutting out an instance for good that lives although its
+// entry was removed once: it writes only when more than its sequence changes.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, removed, entry of a restored store stays, is used "
+                  "again") {
+  store.Put("op/config", kConfig);
+  store.Put("servers/i1", EntryJson());
+  Start();
+  RunFor(300 * kMillisecond);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  store.Delete("servers/i1");
+  RunFor(700 * kMillisecond);
+  store.Restore(copy);
+  RunFor(Gateway::kRestoredEntryDelay / 2);
+  CHECK(InstanceCount() == 0);
+  RunFor(Gateway::kRestoredEntryDelay / 2 + 700 * kMillisecond);
+  CHECK(InstanceCount() == 1);
+}
+
+// Guards against using an instance that left as long as the store returns again
+// and again.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, missing in a series of restored stores, is "
+                  "removed") {
+  store.Put("op/config", kConfig);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  store.Put("servers/gone", EntryJson());
+  Start();
+  RunFor(300 * kMillisecond);
+  for (int n = 0; n < 3; ++n) {
+    store.Restore(copy);
+    RunFor(900 * kMillisecond);
+  }
+  CHECK(InstanceCount() == 0);
+}
+
+// Guards against requests to an evacuated zone because the store is restored
+// from a copy that does not know of the evacuation yet.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Evacuation, missing in a restored store, goes on until it "
+                  "is not written again") {
+  store.Put("op/config", kConfig);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  store.Put("op/evacuate/z", "{}");
+  Start();
+  RunFor(300 * kMillisecond);
+  REQUIRE(HasLogged("zone_evacuated"));
+  store.Restore(copy);
+  RunFor(700 * kMillisecond);
+  CHECK(HasLogged("zone_evacuation_lapsed"));
+  store.Put("op/evacuate/z", "{}");
+  RunFor(Gateway::kReregistrationTimeout + 300 * kMillisecond);
+  CHECK_FALSE(HasLogged("zone_evacuation_ended"));
+  store.Restore(copy);
+  RunFor(Gateway::kReregistrationTimeout + 700 * kMillisecond);
+  CHECK(HasLogged("zone_evacuation_ended"));
+}
+
+// Guards against dropping an instance that serves, because the store is
+// restored from a copy that does not list it yet.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Instance, missing in a restored store, may register again") {
+  store.Put("op/config", kConfig);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  store.Put("servers/back", EntryJson());
+  store.Put("servers/gone", EntryJson());
+  Start();
+  RunFor(300 * kMillisecond);
+  REQUIRE(InstanceCount() == 2);
+  store.Restore(copy);
+  RunFor(700 * kMillisecond);
+  CHECK(InstanceCount() == 2);
+  store.Put("servers/back", EntryJson());
+  RunFor(Gateway::kReregistrationTimeout);
+  CHECK(InstanceCount() == 1);
+}
+
+// Guards against an old configuration that stays in force, or returns, after
+// the store is restored: the revision of the new one was given out before.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "Configuration, written after the store is restored, is "
+                  "applied") {
+  store.Put("op/config", kConfig);
+  Start();
+  RunFor(300 * kMillisecond);
+  const MemoryStore::Copy copy = store.MakeCopy();
+  for (int n = 0; n < 9; ++n) store.Put("servers/i1", EntryJson("ready", n));
+  store.Put("op/config", ConfigJson(4));
+  RunFor(700 * kMillisecond);
+  REQUIRE(Gauge("rwf_config_version") == 4);
+  store.Restore(copy);
+  RunFor(700 * kMillisecond);
+  CHECK(Gauge("rwf_config_version") == 4);
+  store.Put("op/config", ConfigJson(5));
+  RunFor(700 * kMillisecond);
+  CHECK(Gauge("rwf_config_version") == 5);
+}
+
 // Guards against a planned stop that aborts requests, stays in look-ups or does
 // not finish.
 TEST_CASE_FIXTURE(
--- a/tests/gateway/memory_store.h
+++ b/tests/gateway/memory_store.h
@@ -18,20 +18,35 @@
   explicit MemoryStore(EventLoop* loop) : loop_(loop) {}
 
   void Put(const std::string& key, const std::string& value) {
-    items_[key] = {key, value, ++revision_, false};
+    items_[key] = {key, value, Next(), false};
     Notify(items_[key]);
   }
   void Delete(const std::string& key) {
     if (items_.erase(key) == 0) return;
-    Notify({key, "", ++revision_, true});
+    Notify({key, "", Next(), true});
   }
-  uint64_t revision() const { return revision_; }
+  const StoreRevision& revision() const { return revision_; }
   bool Has(const std::string& key) const { return items_.contains(key); }
   // Returns an empty string if there is no such item.
   std::string Get(const std::string& key) const {
     const auto it = items_.find(key);
     return it == items_.end() ? "" : it->second.value;
   }
+  struct Copy {
+    std::map<std::string, StoreItem> items;
+    uint64_t number = 0;
+  };
+  Copy MakeCopy() const { return {items_, revision_.number}; }
+  // Returns to an older copy in a new era, and ends all watches.
+  void Restore(const Copy& copy) {
+    items_ = copy.items;
+    revision_ = {revision_.era + 1, copy.number};
+    events_.clear();
+    oldest_number_ = copy.number;
+    for (auto& [key, it] : items_) it.revision.era = revision_.era;
+    for (auto& it : std::exchange(watches_, {}))
+      it.done(Fail(StoreErrc::kUnavailable, "connection closed"));
+  }
   void SetDown(bool is_down) {
     is_down_ = is_down;
     if (!is_down) return;
@@ -46,12 +61,18 @@
     for (const auto& [key, it] : items_) page.items.push_back(it);
     Complete<ItemPage>(std::move(done), std::move(page));
   }
-  void Watch(const std::string&, uint64_t revision, Duration wait,
+  void Watch(const std::string&, const StoreRevision& revision, Duration wait,
              Callback<ChangeSet> done) override {
     if (is_down_) {
       Complete<ChangeSet>(std::move(done), ChangeSet{});
       return;
     }
+    if (revision.era != revision_.era || revision.number < oldest_number_) {
+      loop_->Post([done = std::move(done)] {
+        done(Fail(StoreErrc::kHistoryGone, "history gone"));
+      });
+      return;
+    }
     ChangeSet found;
     found.revision = revision_;
     for (const StoreItem& it : events_) {
@@ -66,13 +87,14 @@
     watches_.back().id = id;
     watches_.back().timer = loop_->After(wait, [this, id] { ExpireWatch(id); });
   }
-  void Write(const ItemWrite& write, Callback<uint64_t> done) override {
+  void Write(const ItemWrite& write, Callback<StoreRevision> done) override {
     if (is_down_) {
-      Complete<uint64_t>(std::move(done), uint64_t{revision_});
+      Complete<StoreRevision>(std::move(done), StoreRevision{revision_});
       return;
     }
     const auto it = items_.find(write.key);
-    const uint64_t present = it == items_.end() ? 0 : it->second.revision;
+    const StoreRevision present =
+        it == items_.end() ? StoreRevision{} : it->second.revision;
     if (write.is_conditional && present != write.expected_revision) {
       loop_->Post([done = std::move(done)] {
         done(Fail(StoreErrc::kConflict, "another revision"));
@@ -80,7 +102,7 @@
       return;
     }
     Put(write.key, write.value);
-    Complete<uint64_t>(std::move(done), uint64_t{revision_});
+    Complete<StoreRevision>(std::move(done), StoreRevision{revision_});
   }
   void Grant(Duration ttl, Callback<GrantedLease> done) override {
     Complete<GrantedLease>(std::move(done), GrantedLease{7, ttl});
@@ -93,6 +115,9 @@
   }
 
  private:
+  StoreRevision Next() {
+    return revision_ = {revision_.era, revision_.number + 1};
+  }
   struct PendingWatch {
     Callback<ChangeSet> done;
     std::unique_ptr<Timer> timer;
@@ -128,7 +153,8 @@
   std::map<std::string, StoreItem> items_;
   std::vector<StoreItem> events_;
   std::vector<PendingWatch> watches_;
-  uint64_t revision_ = 1;
+  StoreRevision revision_{0, 1};
+  uint64_t oldest_number_ = 0;
   size_t next_watch_ = 0;
   bool is_down_ = false;
 };
--- a/tests/gateway/registration_test.cc
+++ b/tests/gateway/registration_test.cc
@@ -94,8 +94,9 @@
   Start();
   REQUIRE(RunUntil([&] { return IsConfirmed(); }));
   uint64_t revision = 0;
-  store.Write({kKey, kFormer, 0, true, 1},
-              [&](const Result<uint64_t>& it) { revision = it ? *it : 1; });
+  store.Write(
+      {kKey, kFormer, 0, true, {0, 1}},
+      [&](const Result<StoreRevision>& it) { revision = it ? it->number : 1; });
   REQUIRE(RunUntil([&] { return revision != 0; }));
   CHECK(store.Get(kKey) == kOwn);
 }
--- a/tests/gateway/shared_store.h
+++ b/tests/gateway/shared_store.h
@@ -25,21 +25,59 @@
 
   explicit SharedStore(EventLoop* loop) : loop_(loop) {}
 
-  void Put(const std::string& key) { Put(key, std::to_string(revision + 1)); }
+  void Put(const std::string& key) {
+    Put(key, std::to_string(revision.number + 1));
+  }
   void Put(const std::string& key, const std::string& value,
            uint64_t lease = 0) {
     lease_of_[key] = lease;
-    Add({key, value, revision + 1, false});
+    Add({key, value, Next(), false});
   }
   void Delete(const std::string& key) {
-    if (items.contains(key)) Add({key, "", revision + 1, true});
+    if (items.contains(key)) Add({key, "", Next(), true});
   }
   void DiscardHistory() { oldest_revision = revision; }
+  // Returns, in a new era, to the contents that the store had `age` ago. Leases
+  // stay.
+  void Restore(Duration age) {
+    const TimePoint copied_at = EventLoop::Now() - age;
+    std::map<std::string, StoreItem> copy;
+    uint64_t number = 1;
+    for (const Change& it : history) {
+      if (it.at > copied_at) break;
+      number = std::max(number, it.item.revision.number);
+      if (it.item.is_deleted) {
+        copy.erase(it.item.key);
+      } else {
+        copy[it.item.key] = it.item;
+      }
+    }
+    revision = oldest_revision = {revision.era + 1, number};
+    const std::map<std::string, StoreItem> lost = std::exchange(items, {});
+    const auto first = static_cast<ptrdiff_t>(history.size());
+    // What differs changes at the moment of the return.
+    for (auto& [key, it] : copy) {
+      it.revision.era = revision.era;
+      items[key] = it;
+      const auto found = lost.find(key);
+      if (found == lost.end() || found->second.value != it.value)
+        history.push_back({it, EventLoop::Now()});
+    }
+    for (const auto& [key, it] : lost) {
+      if (!copy.contains(key))
+        history.push_back({{key, "", revision, true}, EventLoop::Now()});
+    }
+    std::sort(history.begin() + first, history.end(),
+              [](const Change& a, const Change& b) {
+                return a.item.revision < b.item.revision;
+              });
+  }
 
-  Result<uint64_t> Write(const ItemWrite& write) {
+  Result<StoreRevision> Write(const ItemWrite& write) {
     ExpireLeases();
     const auto it = items.find(write.key);
-    const uint64_t present = it == items.end() ? 0 : it->second.revision;
+    const StoreRevision present =
+        it == items.end() ? StoreRevision{} : it->second.revision;
     if (write.is_conditional && present != write.expected_revision)
       return Fail(StoreErrc::kConflict, "another revision");
     if (write.lease != 0 && !leases_.contains(write.lease))
@@ -77,15 +115,16 @@
 
   std::map<std::string, StoreItem> items;
   std::vector<Change> history;
-  uint64_t revision = 1;
+  StoreRevision revision{0, 1};
   // Watches from an earlier revision fail.
-  uint64_t oldest_revision = 1;
+  StoreRevision oldest_revision{0, 1};
 
  private:
   struct Lease {
     TimePoint end{};
     Duration ttl{};
   };
+  StoreRevision Next() const { return {revision.era, revision.number + 1}; }
   void Add(const StoreItem& item) {
     revision = item.revision;
     if (item.is_deleted) {
@@ -127,11 +166,11 @@
       Answer(done, Result<ItemPage>(std::move(page)));
     });
   }
-  void Watch(const std::string&, uint64_t revision, Duration wait,
+  void Watch(const std::string&, const StoreRevision& revision, Duration wait,
              Callback<ChangeSet> done) override {
     Poll(revision, EventLoop::Now() + wait, std::move(done));
   }
-  void Write(const ItemWrite& write, Callback<uint64_t> done) override {
+  void Write(const ItemWrite& write, Callback<StoreRevision> done) override {
     if (late_write_delay > Duration::zero()) {
       store_->WriteLate(write,
                         std::exchange(late_write_delay, Duration::zero()));
@@ -140,8 +179,8 @@
       });
       return;
     }
-    Call<uint64_t>(std::move(done),
-                   [this, write] { return store_->Write(write); });
+    Call<StoreRevision>(std::move(done),
+                        [this, write] { return store_->Write(write); });
   }
   void Grant(Duration ttl, Callback<GrantedLease> done) override {
     Call<GrantedLease>(std::move(done),
@@ -190,12 +229,14 @@
       }
     });
   }
-  void Poll(uint64_t revision, TimePoint end, Callback<ChangeSet> done) {
+  void Poll(const StoreRevision& revision, TimePoint end,
+            Callback<ChangeSet> done) {
     if (is_cut) {
       Answer<ChangeSet>(done, Fail(StoreErrc::kUnavailable, "cut off"));
       return;
     }
-    if (revision < store_->oldest_revision) {
+    if (revision.era != store_->revision.era ||
+        revision < store_->oldest_revision) {
       Answer<ChangeSet>(done, Fail(StoreErrc::kHistoryGone, "discarded"));
       return;
     }
@@ -203,7 +244,7 @@
     changes.revision = store_->revision;
     const auto first = std::upper_bound(
         store_->history.begin(), store_->history.end(), revision,
-        [](uint64_t n, const SharedStore::Change& it) {
+        [](const StoreRevision& n, const SharedStore::Change& it) {
           return n < it.item.revision;
         });
     for (auto it = first; it != store_->history.end(); ++it)
--- a/tests/gateway/store_relay_test.cc
+++ b/tests/gateway/store_relay_test.cc
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,10 +44,11 @@
     loop.Run();
     REQUIRE(watch.is_connected());
   }
-  void SendRequest(uint64_t revision) {
+  void SendRequest(const StoreRevision& revision) {
     wire::ChangesRequestT request;
     request.id = replies.size() + 1;
-    request.revision = revision;
+    request.era = revision.era;
+    request.revision = revision.number;
     relay.OnRequest("v2", request, EventLoop::Now());
   }
 
@@ -62,7 +65,7 @@
 TEST_CASE_FIXTURE(WatchingRelayFixture,
                   "Relay, key removed before its first load, tells VMs that "
                   "are behind to load") {
-  const uint64_t follower_revision = store.revision();
+  const StoreRevision follower_revision = store.revision();
   store.Delete("removed");
   watch.Start();
   RunUntilLoaded();
@@ -82,7 +85,7 @@
   RunUntilLoaded();
   store.SetDown(true);
   store.Put("short-lived", "1");
-  const uint64_t follower_revision = store.revision();
+  const StoreRevision follower_revision = store.revision();
   store.Delete("short-lived");
   store.SetDown(false);
   RunUntilLoaded();
@@ -98,7 +101,7 @@
                   "it did") {
   watch.Start();
   RunUntilLoaded();
-  const uint64_t follower_revision = store.revision();
+  const StoreRevision follower_revision = store.revision();
   store.SetDown(true);
   store.Put("added", "1");
   store.Delete("removed");
@@ -116,24 +119,35 @@
                   "Relay, loads again while a VM waits, tells it to load") {
   watch.Start();
   RunUntilLoaded();
-  SendRequest(store.revision() + 2);
+  SendRequest({0, store.revision().number + 2});
   CHECK(replies.empty());
-  relay.OnLoaded(store.revision() + 5);
-  relay.OnConfirmed(store.revision() + 5, EventLoop::Now(), EventLoop::Now());
+  const StoreRevision later{0, store.revision().number + 5};
+  relay.OnLoaded(later);
+  relay.OnConfirmed(later, EventLoop::Now(), EventLoop::Now());
   REQUIRE(replies.size() == 1);
   CHECK(replies.back().is_history_gone);
 }
 
+uint64_t FirstSeed() {
+  const char* text = std::getenv("RWF_RELAY_FIRST_SEED");
+  return text == nullptr ? 1 : std::stoull(text);
+}
+
 // Three VMs that relay changes of one store, and random faults: restarts,
 // connections to the store that are cut, history that is discarded, VMs that
-// ask the store themselves for a time.
+// ask the store themselves for a time; the store may also be restored from
+// copies of itself.
 class RelayingFleet {
  public:
   static constexpr size_t kVms = 3;
   static constexpr Duration kStep = 20 * kMillisecond;
+  static constexpr uint64_t kMaxCopyAgeMs = 2000;
 
-  RelayingFleet(EventLoop* loop, uint64_t seed)
-      : seed_(seed), loop_(loop), rng_(seed) {
+  RelayingFleet(EventLoop* loop, uint64_t seed, bool is_store_restored)
+      : seed_(seed),
+        is_store_restored_(is_store_restored),
+        loop_(loop),
+        rng_(seed) {
     for (int n = 0; n < 12; ++n) store_.Put("k" + std::to_string(n));
     for (size_t n = 0; n < kVms; ++n) Start(n);
     Keep(loop->Every(kStep, [this] { Step(); }));
@@ -156,7 +170,7 @@
     RelayedStore store;
     StoreWatch watch;
     ChangeRelay relay;
-    std::map<std::string, uint64_t> view;  // revision by key
+    std::map<std::string, StoreItem> view;
     bool asks_store = false;
     uint64_t incarnation = 0;
   };
@@ -208,7 +222,12 @@
     Vm* vm = vms_[n].get();
     vm->incarnation = ++incarnations_;
     vm->watch.signal_item.connect(
-        [vm](const StoreItem& it) { vm->view[it.key] = it.revision; });
+        [vm](const StoreItem& it) { vm->view[it.key] = it; });
+    vm->watch.signal_change.connect([vm](const StoreItem& it) {
+      const auto found = vm->view.find(it.key);
+      if (found != vm->view.end() && found->second.value == it.value)
+        found->second.revision = it.revision;
+    });
     vm->watch.signal_removed.connect(
         [vm](const std::string& key) { vm->view.erase(key); });
     vm->relay.Follow(&vm->watch, &EventLoop::Now);
@@ -226,31 +245,47 @@
   }
 
   // What was removed before `confirmed_at` and not added again is not in the
-  // view, and what was added before is there.
+  // view, and what was added before is there unless it was removed later.
   void Check(size_t n, const Vm& vm, TimePoint confirmed_at) {
     ++confirmations;
     std::map<std::string, const StoreItem*> latest;
+    // The VM may know a removal that followed.
+    std::set<std::string> removed_later;
     for (const SharedStore::Change& it : store_.history) {
-      if (it.at < confirmed_at) latest[it.item.key] = &it.item;
+      if (it.at < confirmed_at) {
+        latest[it.item.key] = &it.item;
+      } else if (it.item.is_deleted) {
+        removed_later.insert(it.item.key);
+      }
     }
     for (const auto& [key, item] : latest) {
-      const auto found = vm.view.find(key);
-      const bool is_behind =
-          item->is_deleted
-              ? found != vm.view.end() && found->second <= item->revision
-              : found != vm.view.end() && found->second < item->revision;
-      if (!is_behind) continue;
+      if (!IsBehind(vm, *item, removed_later.contains(key))) continue;
       differences.push_back("seed " + std::to_string(seed_) + ", VM " +
                             std::to_string(n) + ", " + key + "@" +
-                            std::to_string(item->revision));
+                            std::to_string(item->revision.number));
     }
   }
 
+  static bool IsBehind(const Vm& vm, const StoreItem& latest,
+                       bool is_removed_later) {
+    const auto found = vm.view.find(latest.key);
+    if (found == vm.view.end()) return !latest.is_deleted && !is_removed_later;
+    return latest.is_deleted ? found->second.revision <= latest.revision
+                             : found->second.revision < latest.revision;
+  }
+
   void Step() {
     const std::string key = "k" + std::to_string(rng_() % 16);
     if (Draw(150)) store_.Put(key);
     if (Draw(150)) store_.Delete(key);
     if (Draw(10)) store_.DiscardHistory();
+    if (is_store_restored_ && Draw(10)) {
+      store_.Restore(RandomDelay(kMaxCopyAgeMs));
+      // Those that are connected lose their connections.
+      for (const auto& vm : vms_) {
+        if (vm != nullptr && Draw(700)) vm->connection.is_cut = true;
+      }
+    }
     const size_t n = rng_() % kVms;
     if (vms_[n] != nullptr) {
       if (Draw(30)) {
@@ -267,6 +302,7 @@
   }
 
   uint64_t seed_;
+  bool is_store_restored_;
   EventLoop* loop_;
   std::mt19937_64 rng_;
   SharedStore store_{loop_};
@@ -275,16 +311,17 @@
   std::vector<std::unique_ptr<Timer>> timers_;
 };
 
-// Guards against a VM that takes its state for current although a removal was
-// never told to it, in any order of restarts, loads, changes and requests.
-TEST_CASE(
-    "VMs that relay changes, random faults, confirm only what they hold") {
+// Runs fleets side by side and checks them.
+void RunFleets(bool is_store_restored) {
   static constexpr uint64_t kFleets = 40;
   static constexpr Duration kTime = std::chrono::seconds(6);
   EventLoop loop;
   std::vector<std::unique_ptr<RelayingFleet>> fleets;
-  for (uint64_t seed = 1; seed <= kFleets; ++seed)
-    fleets.push_back(std::make_unique<RelayingFleet>(&loop, seed));
+  const uint64_t first = FirstSeed();
+  for (uint64_t seed = first; seed < first + kFleets; ++seed) {
+    fleets.push_back(
+        std::make_unique<RelayingFleet>(&loop, seed, is_store_restored));
+  }
   const auto timer = loop.After(kTime, [&] { loop.Stop(); });
   loop.Run();
   for (const auto& it : fleets) {
@@ -293,5 +330,21 @@
   }
 }
 
+// Guards against a VM that takes its state for current although a removal was
+// never told to it, in any order of restarts, loads, changes and requests.
+TEST_CASE(
+    "VMs that relay changes, random faults, confirm only what they hold") {
+  RunFleets(false);
+}
+
+// Guards against a VM that takes an old configuration or instance for current
+// after the store was restored from an older copy, whose revisions are given
+// out again.
+TEST_CASE(
+    "VMs that relay changes, store restored from copies, confirm only what "
+    "they hold") {
+  RunFleets(true);
+}
+
 }  // namespace
 }  // namespace rwf
--- a/tests/gateway/store_watch_test.cc
+++ b/tests/gateway/store_watch_test.cc
@@ -19,19 +19,19 @@
              Callback<ItemPage> done) override {
     ranges.push_back(std::move(done));
   }
-  void Watch(const std::string&, uint64_t revision, Duration,
+  void Watch(const std::string&, const StoreRevision& revision, Duration,
              Callback<ChangeSet> done) override {
     watched_from = revision;
     watches.push_back(std::move(done));
   }
-  void Write(const ItemWrite&, Callback<uint64_t>) override {}
+  void Write(const ItemWrite&, Callback<StoreRevision>) override {}
   void Grant(Duration, Callback<GrantedLease>) override {}
   void KeepAlive(uint64_t, Callback<bool>) override {}
   void Release(uint64_t, Callback<bool>) override {}
 
   std::deque<Callback<ItemPage>> ranges;
   std::deque<Callback<ChangeSet>> watches;
-  uint64_t watched_from = 0;
+  StoreRevision watched_from;
 };
 
 class StoreWatchFixture {
@@ -45,6 +45,10 @@
   }
   void CompleteRange(std::vector<StoreItem> found, uint64_t revision,
                      bool more = false) {
+    CompleteRange(std::move(found), StoreRevision{0, revision}, more);
+  }
+  void CompleteRange(std::vector<StoreItem> found,
+                     const StoreRevision& revision, bool more = false) {
     REQUIRE(!store.ranges.empty());
     const auto done = std::move(store.ranges.front());
     store.ranges.pop_front();
@@ -73,14 +77,14 @@
 TEST_CASE_FIXTURE(StoreWatchFixture,
                   "Watch, several pages, delivers all items") {
   watch.Start();
-  CompleteRange({{"a", "1", 3, false}}, 7, true);
+  CompleteRange({{"a", "1", {0, 3}, false}}, 7, true);
   CHECK_FALSE(watch.is_loaded());
-  CompleteRange({{"b", "2", 5, false}}, 8);
+  CompleteRange({{"b", "2", {0, 5}, false}}, 8);
   CHECK(watch.is_loaded());
   CHECK(items.size() == 2);
   // The pages are not a snapshot: changes after the first page are left to the
   // watch.
-  CHECK(store.watched_from == 7);
+  CHECK(store.watched_from == StoreRevision{0, 7});
 }
 
 // Guards against counting the time of a slow reply as confirmed.
@@ -93,11 +97,11 @@
   CHECK(confirmed == start);
   const TimePoint watch_requested_at = boot_time;
   boot_time += StoreWatch::kWatchWait + 700 * kMillisecond;
-  CompleteWatch(ChangeSet{{}, 1});
+  CompleteWatch(ChangeSet{{}, {0, 1}});
   CHECK(confirmed == watch_requested_at + StoreWatch::kWatchWait);
   const TimePoint second_watch_requested_at = boot_time;
   boot_time += 300 * kMillisecond;
-  CompleteWatch(ChangeSet{{{"a", "1", 2, false}}, 2});
+  CompleteWatch(ChangeSet{{{"a", "1", {0, 2}, false}}, {0, 2}});
   CHECK(confirmed == second_watch_requested_at);
 }
 
@@ -110,17 +114,17 @@
   };
   const std::vector<Row> rows = {
       {"history gone", Fail(StoreErrc::kHistoryGone, "gone")},
-      {"revision without events", ChangeSet{{}, 99}},
+      {"revision without events", ChangeSet{{}, {0, 99}}},
   };
   watch.Start();
-  CompleteRange({{"a", "1", 1, false}, {"b", "1", 2, false}}, 3);
+  CompleteRange({{"a", "1", {0, 1}, false}, {"b", "1", {0, 2}, false}}, 3);
   uint64_t revision = 20;
   for (const Row& row : rows) {
     CAPTURE(row.name);
     CompleteWatch(row.answer);
     CHECK(store.watches.empty());
     revision += 10;
-    CompleteRange({{"b", "2", revision, false}}, revision);
+    CompleteRange({{"b", "2", {0, revision}, false}}, revision);
     CHECK(items == std::map<std::string, std::string>{{"b", "2"}});
   }
 }
@@ -128,11 +132,63 @@
 // Guards against applying a reply that is older than the known state.
 TEST_CASE_FIXTURE(StoreWatchFixture, "Watch, older revision, is ignored") {
   watch.Start();
-  CompleteRange({{"a", "new", 9, false}}, 9);
-  CompleteWatch(ChangeSet{{{"a", "old", 4, false}}, 9});
+  CompleteRange({{"a", "new", {0, 9}, false}}, 9);
+  CompleteWatch(ChangeSet{{{"a", "old", {0, 4}, false}}, {0, 9}});
   CHECK(items["a"] == "new");
 }
 
+// Guards against a VM that keeps what it knows when the store is restored from
+// an older copy: its revisions go back and are given out again.
+TEST_CASE_FIXTURE(StoreWatchFixture,
+                  "Watch, store in a new era, takes over its contents") {
+  std::vector<std::string> written;
+  watch.signal_item.connect(
+      [&](const StoreItem& it) { written.push_back(it.key); });
+  watch.Start();
+  CompleteRange({{"held", "1", {1, 2}, false},
+                 {"lost", "1", {1, 8}, false},
+                 {"older", "new", {1, 9}, false}},
+                StoreRevision{1, 9});
+  CompleteWatch(Fail(StoreErrc::kHistoryGone, "another era"));
+  written.clear();
+  CompleteRange({{"held", "1", {2, 2}, false}, {"older", "old", {2, 4}, false}},
+                StoreRevision{2, 5});
+  CHECK(items ==
+        std::map<std::string, std::string>{{"held", "1"}, {"older", "old"}});
+  // The value that is held still is not reported as written.
+  CHECK(written == std::vector<std::string>{"older"});
+  CHECK(store.watched_from == StoreRevision{2, 5});
+  CHECK(watch.era_begin() == StoreRevision{2, 5});
+  CHECK(watch.is_era_loaded());
+  CompleteWatch(ChangeSet{{{"older", "newest", {2, 6}, false}}, {2, 6}});
+  CHECK(items["older"] == "newest");
+}
+
+// Guards against a load that mixes the contents of two eras.
+TEST_CASE_FIXTURE(StoreWatchFixture,
+                  "Watch, new era between two pages, loads from the start") {
+  watch.Start();
+  CompleteRange({{"a", "1", {1, 3}, false}}, StoreRevision{1, 9}, true);
+  CompleteRange({{"b", "1", {2, 4}, false}}, StoreRevision{2, 5}, true);
+  CHECK_FALSE(watch.is_loaded());
+  CompleteRange({{"c", "1", {2, 2}, false}}, StoreRevision{2, 6});
+  CHECK(watch.is_loaded());
+  CHECK(items == std::map<std::string, std::string>{{"c", "1"}});
+}
+
+// Guards against a VM that is shut out until it restarts, because the store was
+// set up anew and counts its eras from the start.
+TEST_CASE_FIXTURE(StoreWatchFixture,
+                  "Watch, store in an earlier era, takes over its contents") {
+  watch.Start();
+  CompleteRange({{"a", "1", {9, 3}, false}, {"b", "1", {9, 4}, false}},
+                StoreRevision{9, 9});
+  CompleteWatch(Fail(StoreErrc::kHistoryGone, "another era"));
+  CompleteRange({{"a", "0", {2, 1}, false}}, StoreRevision{2, 1});
+  CHECK(items == std::map<std::string, std::string>{{"a", "0"}});
+  CHECK(watch.revision() == StoreRevision{2, 1});
+}
+
 // Guards against taking one closed watch for an outage, which would keep
 // entries that have been removed.
 TEST_CASE_FIXTURE(
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -27,7 +27,7 @@
 class DecoderFixture {
  protected:
   StoreChange Decode(const std::string& key, const std::string& value) const {
-    return decoder.Decode({key, value, 1, false});
+    return decoder.Decode({key, value, {0, 1}, false});
   }
   Decoder decoder{{{"delta-north", "delta"}}};
 };
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,8 +46,8 @@
       client->Range("servers/", "servers/a b", timeout, done);
     });
   }
-  Result<uint64_t> Write(const ItemWrite& write) {
-    return Wait<uint64_t>([&](auto done) { client->Write(write, done); });
+  Result<StoreRevision> Write(const ItemWrite& write) {
+    return Wait<StoreRevision>([&](auto done) { client->Write(write, done); });
   }
 
   EventLoop loop;
@@ -61,6 +62,66 @@
   std::unique_ptr<StoreClient> client;
 };
 
+// Guards against taking changes of a restored store for those that follow a
+// revision of the era before.
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "Calls, store states an era, return revisions of that era") {
+  const auto respond = [&](std::string body, const std::string& era) {
+    responses.push_back(JsonResponse(200, std::move(body)));
+    responses.back().headers.Add("Store-Era", era);
+  };
+  const auto watch = [&](const StoreRevision& revision) {
+    return Wait<ChangeSet>([&](auto done) {
+      client->Watch("", revision, std::chrono::milliseconds(10), done);
+    });
+  };
+  const std::string changes =
+      R"({"events":[{"key":"a","value":"YQ==","revision":9}],"current_rev":9})";
+  respond(R"({"items":[{"key":"k","revision":4}],"current_rev":8})", "3");
+  const Result<ItemPage> page = Range();
+  REQUIRE(page.has_value());
+  CHECK(page->revision == StoreRevision{3, 8});
+  CHECK(page->items[0].revision == StoreRevision{3, 4});
+  respond(changes, "3");
+  Result<ChangeSet> found = watch({3, 8});
+  REQUIRE(found.has_value());
+  CHECK(found->events[0].revision == StoreRevision{3, 9});
+  respond(changes, "4");
+  found = watch({3, 8});
+  REQUIRE_FALSE(found.has_value());
+  CHECK(found.error().code == StoreErrc::kHistoryGone);
+  respond(R"({"revision":7})", "4");
+  const Result<StoreRevision> written = Write({"k", "v", 0, false, {}});
+  REQUIRE(written.has_value());
+  CHECK(*written == StoreRevision{4, 7});
+}
+
+// Guards against falling back to an earlier era, or ending, because of a header
+// that is missing or no number.
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "Calls, store states no usable era, keep the latest one") {
+  std::vector<std::string> unusable;
+  client->signal_unusable_era.connect(
+      [&](const std::string& it) { unusable.push_back(it); });
+  const auto era_after = [&](const std::optional<std::string>& header) {
+    responses.push_back(JsonResponse(200, R"({"items":[],"current_rev":8})"));
+    if (header) responses.back().headers.Add("Store-Era", *header);
+    const Result<ItemPage> page = Range();
+    REQUIRE(page.has_value());
+    return page->revision.era;
+  };
+  CHECK(era_after(std::nullopt) == 0);
+  CHECK(unusable.empty());
+  CHECK(era_after("5") == 5);
+  for (const char* header : {"", "six", "-1", "7x", "99999999999999999999999"})
+    CHECK(era_after(header) == 5);
+  CHECK(era_after(std::nullopt) == 5);
+  CHECK(unusable.size() == 1);
+  CHECK(era_after("6") == 6);
+  CHECK(era_after("x") == 6);
+  CHECK(unusable.size() == 2);
+}
+
 TEST_CASE_FIXTURE(StoreClientFixture, "Range, page of items, is decoded") {
   responses.push_back(JsonResponse(
       200,
@@ -68,10 +129,10 @@
       {"key":"odd","value":"not base64!","revision":5}],"has_more":true,"current_rev":9})"));
   const Result<ItemPage> page = Range();
   REQUIRE(page.has_value());
-  CHECK(page->revision == 9);
+  CHECK(page->revision == StoreRevision{0, 9});
   CHECK(page->has_more);
   REQUIRE(page->items.size() == 2);
-  CHECK(page->items[0] == StoreItem{"k", "node-1", 4, false});
+  CHECK(page->items[0] == StoreItem{"k", "node-1", {0, 4}, false});
   CHECK(page->items[1].value.empty());
   CHECK(requests[0].path == "/kv-range");
   CHECK(requests[0].QueryValue("prefix") == "servers/");
@@ -84,12 +145,12 @@
       200,
       R"({"events":[{"key":"a","value":"YQ==","revision":5,"lease":0},{"key":"b","revision":6,"deleted":true}],"current_rev":6})"));
   const Result<ChangeSet> changes = Wait<ChangeSet>([&](auto done) {
-    client->Watch("", 4, std::chrono::milliseconds(1900), done);
+    client->Watch("", {0, 4}, std::chrono::milliseconds(1900), done);
   });
   REQUIRE(changes.has_value());
-  CHECK(changes->events ==
-        std::vector<StoreItem>{{"a", "a", 5, false}, {"b", "", 6, true}});
-  CHECK(changes->revision == 6);
+  CHECK(changes->events == std::vector<StoreItem>{{"a", "a", {0, 5}, false},
+                                                  {"b", "", {0, 6}, true}});
+  CHECK(changes->revision == StoreRevision{0, 6});
   CHECK(requests[0].QueryValue("after") == "4");
   CHECK(requests[0].QueryValue("wait_ms") == "1900");
 }
@@ -97,9 +158,9 @@
 TEST_CASE_FIXTURE(StoreClientFixture,
                   "Write, conditional, sends its precondition") {
   responses.push_back(JsonResponse(200, R"({"revision":12})"));
-  const Result<uint64_t> revision = Write({"k", "node-1", 77, true, 0});
+  const Result<StoreRevision> revision = Write({"k", "node-1", 77, true, {}});
   REQUIRE(revision.has_value());
-  CHECK(*revision == 12);
+  CHECK(*revision == StoreRevision{0, 12});
   CHECK(
       Json::parse(requests[0].body) ==
       Json::parse(
@@ -151,7 +212,7 @@
     REQUIRE_FALSE(page.has_value());
     CHECK(page.error().code == row.read);
     responses.push_back(JsonResponse(row.status, row.body));
-    const Result<uint64_t> write = Write({"k", "v", 0, false, 0});
+    const Result<StoreRevision> write = Write({"k", "v", 0, false, {}});
     REQUIRE_FALSE(write.has_value());
     CHECK(write.error().code == row.write);
   }
@@ -184,7 +245,7 @@
   const Result<ItemPage> page = Range(std::chrono::milliseconds(200));
   REQUIRE_FALSE(page.has_value());
   CHECK(page.error().code == StoreErrc::kUnavailable);
-  const Result<uint64_t> write = Write({"k", "v", 0, false, 0});
+  const Result<StoreRevision> write = Write({"k", "v", 0, false, {}});
   REQUIRE_FALSE(write.has_value());
   CHECK(write.error().code == StoreErrc::kUnknownOutcome);
 }
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -201,7 +201,7 @@
     world.checks.revoked[tenant] = world.clock()
 
 
-FAULTS = (store_away, store_turns_away, store_forgets, store_loses_leases, vm_kill, vm_pause, vm_roll, vm_reload,
+FAULTS = (store_away, store_turns_away, store_forgets, store_restored, store_loses_leases, vm_kill, vm_pause, vm_roll, vm_reload,
           instance_links, peer_links, instance_crash, instance_fails, instance_drain, config_change, config_change,
           key_withdrawn)
 RESTORE_FAULTS = (store_restored_after_writes, store_restored, config_change, config_change, config_change,
