--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -96,6 +96,21 @@
   CHECK(*written == StoreRevision{4, 7});
 }
 
+// Guards against skipping a change that the store makes between reading the
+// events and its revision.
+TEST_CASE_FIXTURE(StoreClientFixture,
+                  "Watch, revision beyond the last event, continues from that "
+                  "event") {
+  responses.push_back(JsonResponse(
+      200,
+      R"({"events":[{"key":"a","value":"YQ==","revision":5},{"key":"b","revision":6,"deleted":true}],"current_rev":8})"));
+  const Result<ChangeSet> changes = Wait<ChangeSet>([&](auto done) {
+    client->Watch("", {0, 4}, std::chrono::milliseconds(10), done);
+  });
+  REQUIRE(changes.has_value());
+  CHECK(changes->revision == StoreRevision{0, 6});
+}
+
 // Guards against falling back to an earlier era, or ending, because of a header
 // that is missing or no number.
 TEST_CASE_FIXTURE(StoreClientFixture,
