Record as watched only what a relay VM has learned from a watch

If it lost the store before its first watch and loaded again, its history had a gap that began only after its first load. A follower at the revision of that load, which had read the key before the removal, got the later changes without it and kept the key.

Change: a gap begins at the last revision that a watch has reached.

Evidence: the new case of change_relay_test failed before by reading (the former gap began at the revision of the load, and a request from it was answered).

--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -37,12 +37,13 @@
   changes_.clear();
   revision_of_.clear();
   gaps_.clear();
-  revision_ = oldest_revision_ = {era, 0};
+  revision_ = watched_revision_ = oldest_revision_ = {era, 0};
 }
 
 void ChangeRelay::OnLoaded(const StoreRevision& revision) {
+  is_load_confirmed_next_ = true;
   if (revision <= revision_) return;
-  gaps_.push_back({revision_, revision});
+  gaps_.push_back({watched_revision_, revision});
   if (gaps_.size() <= kMaxGaps) return;
   gaps_[1].after = gaps_[0].after;
   gaps_.erase(gaps_.begin());
@@ -63,6 +64,8 @@
 void ChangeRelay::OnConfirmed(const StoreRevision& revision,
                               TimePoint confirmed_at, TimePoint now) {
   revision_ = std::max(revision_, revision);
+  if (!std::exchange(is_load_confirmed_next_, false))
+    watched_revision_ = revision_;
   confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   is_store_connected_ = true;
   std::vector<PendingRequest> pending = std::move(pending_);
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -35,7 +35,7 @@
   void Follow(StoreWatch* watch, const std::function<TimePoint()>& boot_now);
 
   // All keys were loaded at this revision. A load does not tell of keys that
-  // were added and removed since the last known revision, so requests for
+  // were added and removed since the last watched revision, so requests for
   // changes after a revision in between cannot be answered. Must be called
   // before OnConfirmed for the same load.
   void OnLoaded(const StoreRevision& revision);
@@ -89,6 +89,10 @@
   std::vector<PendingRequest> pending_;
   std::vector<Gap> gaps_;  // by revision
   StoreRevision revision_;
+  // Up to which all changes are known. A load alone does not tell of keys that
+  // were removed before their page was read.
+  StoreRevision watched_revision_;
+  bool is_load_confirmed_next_ = false;
   // Requests for changes after an earlier revision cannot be answered.
   StoreRevision oldest_revision_;
   TimePoint confirmed_at_{};
--- a/tests/gateway/change_relay_test.cc
+++ b/tests/gateway/change_relay_test.cc
@@ -107,6 +107,26 @@
   CHECK(replies.size() == 2);
 }
 
+// Guards against a follower that keeps a key for good: the relay VM read its
+// page after the removal, lost the store, and loaded again past the removal.
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, two loads without a watch between, makes followers "
+                  "load") {
+  relay.OnLoaded({0, 12});
+  relay.OnConfirmed({0, 12}, now, now);
+  SendRequest(10);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.back().second.is_history_gone);
+  // The watch tells of all removals since the load.
+  relay.OnConfirmed({0, 12}, now, now);
+  relay.OnLoaded({0, 14});
+  relay.OnConfirmed({0, 14}, now, now);
+  SendRequest({0, 12}, 0);
+  relay.Tick(now);
+  REQUIRE(replies.size() == 2);
+  CHECK_FALSE(replies.back().second.is_history_gone);
+}
+
 // Guards against followers that go on with what they know when the store is
 // restored from an older copy, whose revisions are given out again.
 TEST_CASE_FIXTURE(ChangeRelayFixture,
