Start the numbers of relay requests at random

A VM that has restarted numbered its requests to the relay VM from 1 again, and took the reply to a request of its former process for one to its own. The time that the relay had held the former request then counted from the new one: the VM took its state for confirmed up to 0.5 s into the future.

--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "base/digest.h"
 #include "net/event_loop.h"
 #include "replica/revision_store.h"
 #include "wire/messages_generated.h"
@@ -93,7 +94,9 @@
   RevisionStore* store_;
   Callbacks callbacks_;
   Counters counters_;
-  uint64_t next_id_ = 1;
+  // Random at the start: a relay VM may still reply to a request of the former
+  // process of this VM.
+  uint64_t next_id_ = RandomU64();
   bool has_failed_ = false;
   TimePoint failed_at_{};  // boot time
   // Latest revision of an item read from the store. The pages of a load are not
--- a/tests/gateway/change_relay_test.cc
+++ b/tests/gateway/change_relay_test.cc
@@ -382,6 +382,28 @@
   CHECK(results.front()->revision == StoreRevision{kEra, 10});
 }
 
+// Guards against taking the reply to a request of the former process of this VM
+// for one to its own.
+TEST_CASE("Relayed store, started twice, numbers its requests differently") {
+  std::vector<uint64_t> ids;
+  for (int n = 0; n < 2; ++n) {
+    EventLoop loop;
+    RecordingStore store;
+    RelayedStore::Callbacks callbacks;
+    callbacks.relay = [] { return "v1"; };
+    callbacks.send = [&](const std::string&, const wire::ChangesRequestT& it) {
+      ids.push_back(it.id);
+      return true;
+    };
+    callbacks.boot_now = &EventLoop::Now;
+    RelayedStore relayed_store(&loop, &store, callbacks);
+    relayed_store.Watch("", {0, 1}, std::chrono::seconds(1),
+                        [](const Result<ChangeSet>&) {});
+  }
+  REQUIRE(ids.size() == 2);
+  CHECK(ids[0] != ids[1]);
+}
+
 TEST_CASE_FIXTURE(RelayedStoreFixture,
                   "Watch, VM is a relay, waits for a shorter time") {
   relay = "";
