Tell followers of gaps in what a relay VM has itself heard from another

A VM that follows one relay VM and relays to others passed on what it had heard without the gaps of that history (DRAIN): a key added and removed while the first relay VM was away from the store was in none of the changes, and a third VM that had read it from the store kept it for good. Chains come about when two VMs of a region do not see the same first one.

Change: ChangesReply says whether keys that came and went may be missing. The VM that takes the reply over records the same gap: those behind it in the gap load, all others go on.

A new case of change_relay_test covers it.

--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -22,6 +22,7 @@
       [this, boot_now](const StoreRevision&, const StoreRevision& first) {
         OnNewEra(first.era, boot_now());
       });
+  watch->signal_gap.connect([this](const StoreRevision& it) { OnGap(it); });
   watch->signal_loaded.connect([this, watch] { OnLoaded(watch->revision()); });
   watch->signal_confirmed.connect([this, watch, boot_now](TimePoint t) {
     OnConfirmed(watch->revision(), t, boot_now());
@@ -42,6 +43,10 @@
 
 void ChangeRelay::OnLoaded(const StoreRevision& revision) {
   is_load_confirmed_next_ = true;
+  OnGap(revision);
+}
+
+void ChangeRelay::OnGap(const StoreRevision& revision) {
   if (revision <= revision_) return;
   gaps_.push_back({watched_revision_, revision});
   if (gaps_.size() <= kMaxGaps) return;
@@ -133,6 +138,11 @@
          });
 }
 
+bool ChangeRelay::HasGapSince(const StoreRevision& revision) const {
+  return std::any_of(gaps_.begin(), gaps_.end(),
+                     [&](const Gap& gap) { return gap.before > revision; });
+}
+
 bool ChangeRelay::HasChanges(const PendingRequest& it) const {
   return changes_.upper_bound(it.revision) != changes_.end();
 }
@@ -144,6 +154,7 @@
   reply.revision = revision_.number;
   reply.is_store_lost = !is_store_connected_;
   reply.is_history_gone = IsHistoryGone(it);
+  reply.has_gap = HasGapSince(it.revision);
   reply.held_us = ToMicros(now - it.requested_at);
   reply.age_us = ToMicros(now - confirmed_at_);
   if (is_store_connected_ && !reply.is_history_gone) {
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -39,6 +39,9 @@
   // changes after a revision in between cannot be answered. Must be called
   // before OnConfirmed for the same load.
   void OnLoaded(const StoreRevision& revision);
+  // Changes up to this revision lack keys that were added and removed in
+  // between.
+  void OnGap(const StoreRevision& revision);
   // Must be called in the order in which the changes arrive.
   void OnChange(const StoreItem& change, TimePoint now);
   // All changes made before `confirmed_at` have been passed to OnChange, and
@@ -81,6 +84,7 @@
   };
   bool HasChanges(const PendingRequest& it) const;
   bool IsHistoryGone(const PendingRequest& it) const;
+  bool HasGapSince(const StoreRevision& revision) const;
   void Reply(const PendingRequest& it, TimePoint now);
 
   // Latest change of each key, by revision.
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -90,6 +90,7 @@
       out.events.empty()
           ? it->revision
           : std::max(StoreRevision{era, reply.revision}, it->revision);
+  out.has_gap = reply.has_gap;
   // The other VM received the request after it was made here, so this errs
   // towards an older time.
   out.current_after = std::chrono::microseconds(reply.held_us) - age;
--- a/src/gateway/store_watch.cc
+++ b/src/gateway/store_watch.cc
@@ -116,6 +116,8 @@
                        changes->revision.number, revision_.number));
     return;
   }
+  if (changes->has_gap && changes->revision > revision_)
+    signal_gap.emit(changes->revision);
   revision_ = std::max(revision_, changes->revision);
   const TimePoint now = boot_now_();
   const bool is_empty = changes->events.empty();
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -86,6 +86,9 @@
   sigc::signal<void()> signal_loaded;
   // A load begins because changes were missed, with the reason.
   sigc::signal<void(const std::string& reason)> signal_reload;
+  // The changes up to this revision lack keys that were added and removed in
+  // between. Emitted after the changes.
+  sigc::signal<void(const StoreRevision&)> signal_gap;
   // All changes made before this time are known.
   sigc::signal<void(TimePoint boot_time)> signal_confirmed;
   sigc::signal<void(bool connected, const std::string& reason)>
--- a/src/replica/revision_store.h
+++ b/src/replica/revision_store.h
@@ -55,6 +55,9 @@
   // offset may be negative. If not set, they are complete up to the start of
   // the call, or up to its end if it waited for the full time.
   std::optional<Duration> current_after;
+  // Keys that were added and removed again since the requested revision may be
+  // missing among the events.
+  bool has_gap = false;
 };
 
 struct GrantedLease {
--- a/tests/gateway/change_relay_test.cc
+++ b/tests/gateway/change_relay_test.cc
@@ -127,6 +127,28 @@
   CHECK_FALSE(replies.back().second.is_history_gone);
 }
 
+// Guards against a VM that follows a relay VM, relays what it heard to others,
+// and lacks a removal that the first one did not see itself.
+TEST_CASE_FIXTURE(ChangeRelayFixture,
+                  "Relay, heard changes with a gap, makes VMs in the gap load "
+                  "and tells others of it") {
+  relay.OnConfirmed({0, 10}, now, now);
+  relay.OnChange(Item("a", 15), now);
+  relay.OnGap({0, 15});
+  relay.OnConfirmed({0, 15}, now, now);
+  SendRequest(12);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies.back().second.is_history_gone);
+  SendRequest(10);
+  REQUIRE(replies.size() == 2);
+  CHECK_FALSE(replies.back().second.is_history_gone);
+  CHECK(replies.back().second.has_gap);
+  SendRequest({0, 15}, 0);
+  relay.Tick(now);
+  REQUIRE(replies.size() == 3);
+  CHECK_FALSE(replies.back().second.has_gap);
+}
+
 // Guards against followers that go on with what they know when the store is
 // restored from an older copy, whose revisions are given out again.
 TEST_CASE_FIXTURE(ChangeRelayFixture,
