--- a/src/gateway/change_relay.cc
+++ b/src/gateway/change_relay.cc
@@ -42,7 +42,7 @@
 }
 
 void ChangeRelay::OnLoaded(const StoreRevision& revision) {
-  is_load_confirmed_next_ = true;
+  is_confirming_load_ = true;
   OnGap(revision);
 }
 
@@ -69,8 +69,7 @@
 void ChangeRelay::OnConfirmed(const StoreRevision& revision,
                               TimePoint confirmed_at, TimePoint now) {
   revision_ = std::max(revision_, revision);
-  if (!std::exchange(is_load_confirmed_next_, false))
-    watched_revision_ = revision_;
+  if (!std::exchange(is_confirming_load_, false)) watched_revision_ = revision_;
   confirmed_at_ = std::max(confirmed_at_, confirmed_at);
   is_store_connected_ = true;
   std::vector<PendingRequest> pending = std::move(pending_);
--- a/src/gateway/change_relay.h
+++ b/src/gateway/change_relay.h
@@ -96,7 +96,8 @@
   // Up to which all changes are known. A load alone does not tell of keys that
   // were removed before their page was read.
   StoreRevision watched_revision_;
-  bool is_load_confirmed_next_ = false;
+  // The next confirmation is that of a load.
+  bool is_confirming_load_ = false;
   // Requests for changes after an earlier revision cannot be answered.
   StoreRevision oldest_revision_;
   TimePoint confirmed_at_{};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -164,7 +164,7 @@
   });
   watch_.signal_new_era.connect(
       [this](const StoreRevision& last, const StoreRevision& first) {
-        // The removal may be written again once more.
+        // What was removed may have to be removed once more.
         for (auto& [id, it] : restored_entries_) it.since = EventLoop::Now();
         StoreLine("store_new_era", first)
             .Number("previous_era", static_cast<int64_t>(last.era))
